Project: Serve requests end to end through separate processes

Cause: there was no code yet; every later part needs a path to hang on.

Change: design page and glossary; LibCore, LibModel, LibMessages (Thrift messages and authenticated envelope), LibPacket (IP, TCP, UDP, GUE), a stateless first placement engine, LibDataPath (filter chain, batched sockets), the daemon, stand-ins for fabric, upstream and caller, and the scripts for set-up, run, test and lint. The stateless engine breaks flows when upstreams change; it marks the place of the one to come.

--- /dev/null
+++ b/Libraries/LibCore/Core.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// LibCore: clock interface, IP addresses, flow keys, identifiers and hashing. Knows no sockets, threads or files.
+
+#include <LibCore/Clock.h>
+#include <LibCore/FlowKey.h>
+#include <LibCore/Hash.h>
+#include <LibCore/Id.h>
+#include <LibCore/IpAddress.h>
--- /dev/null
+++ b/Libraries/LibCore/FlowKey.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibCore/Hash.h>
+#include <LibCore/IpAddress.h>
+
+namespace Chicorytally::Core {
+
+/// Transport protocol by its IANA number.
+enum class Protocol : std::uint8_t {
+    Tcp = 6,
+    Udp = 17,
+};
+
+/// The five values that name a flow, seen from the caller: source is the caller, destination the service.
+struct FlowKey {
+    Endpoint source;
+    Endpoint destination;
+    Protocol protocol { Protocol::Tcp };
+
+    /// Keyed 128-bit hash. The key is the same on all balancers of a site and unknown to callers, so that a caller
+    /// can't choose its bucket.
+    Hash128 hash(std::uint64_t key) const;
+
+    friend auto operator<=>(FlowKey const&, FlowKey const&) = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMessages/Envelope.cpp
@@ -0,0 +1,159 @@
+#include <LibMessages/Envelope.h>
+
+#include <memory>
+#include <sodium.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Chicorytally::Messages {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+static_assert(KeySize == crypto_generichash_KEYBYTES);
+static_assert(TagSize == crypto_generichash_BYTES_MIN);
+
+std::optional<PeerKey> PeerKey::fromHex(std::string_view text)
+{
+    PeerKey key;
+    std::size_t size = 0;
+    char const* end = nullptr;
+    auto status = sodium_hex2bin(key.m_bytes.data(), KeySize, text.data(), text.size(), nullptr, &size, &end);
+    if (status != 0 || size != KeySize || end != text.data() + text.size())
+        return std::nullopt;
+    return key;
+}
+
+static std::array<std::uint8_t, TagSize> computeTag(PeerKey const& key, std::span<std::uint8_t const> bytes)
+{
+    std::array<std::uint8_t, TagSize> tag;
+    crypto_generichash(tag.data(), tag.size(), bytes.data(), bytes.size(), key.bytes().data(), key.bytes().size());
+    return tag;
+}
+
+std::uint64_t PeerKey::derive(std::string_view purpose) const
+{
+    auto tag = computeTag(*this, { reinterpret_cast<std::uint8_t const*>(purpose.data()), purpose.size() });
+    return Core::hash64(tag);
+}
+
+bool ReplayWindow::accept(std::uint64_t sequence)
+{
+    if (sequence > m_greatest) {
+        auto shift = sequence - m_greatest;
+        m_seen = shift < Width ? m_seen << shift : 0;
+        m_seen |= 1;
+        m_greatest = sequence;
+        return true;
+    }
+    auto age = m_greatest - sequence;
+    if (age >= Width)
+        return false;
+    auto bit = std::uint64_t { 1 } << age;
+    if (m_seen & bit)
+        return false;
+    m_seen |= bit;
+    return true;
+}
+
+std::string_view toString(OpenError error)
+{
+    switch (error) {
+    case OpenError::TooShort:
+        return "too_short";
+    case OpenError::WrongTag:
+        return "wrong_tag";
+    case OpenError::Malformed:
+        return "malformed";
+    case OpenError::UnknownVersion:
+        return "unknown_version";
+    case OpenError::OldIncarnation:
+        return "old_incarnation";
+    case OpenError::Replayed:
+        return "replayed";
+    }
+    return "unknown";
+}
+
+EnvelopeSealer::EnvelopeSealer(PeerKey const& key, Core::VmId self, Core::Incarnation incarnation)
+    : m_key(key)
+    , m_self(self)
+    , m_incarnation(incarnation)
+{
+}
+
+std::vector<std::uint8_t> EnvelopeSealer::seal(std::vector<PeerMessage> messages)
+{
+    Envelope envelope;
+    envelope.protocolVersion = ProtocolVersion;
+    envelope.sender = static_cast<std::int64_t>(m_self.value());
+    envelope.incarnation = static_cast<std::int64_t>(m_incarnation.value());
+    envelope.sequence = static_cast<std::int64_t>(++m_sequence);
+    envelope.messages = std::move(messages);
+
+    auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol { buffer };
+    envelope.write(&protocol);
+    std::uint8_t* data = nullptr;
+    std::uint32_t size = 0;
+    buffer->getBuffer(&data, &size);
+    std::vector<std::uint8_t> datagram { data, data + size };
+    auto tag = computeTag(m_key, datagram);
+    datagram.insert(datagram.end(), tag.begin(), tag.end());
+    return datagram;
+}
+
+EnvelopeOpener::EnvelopeOpener(PeerKey const& key)
+    : m_key(key)
+{
+}
+
+std::optional<Envelope> EnvelopeOpener::reject(OpenError error)
+{
+    m_lastError = error;
+    return std::nullopt;
+}
+
+static bool decode(std::span<std::uint8_t const> content, Envelope& envelope)
+{
+    // The memory buffer takes a pointer to non-const but only reads from it in OBSERVE mode.
+    auto* data = const_cast<std::uint8_t*>(content.data());
+    auto buffer
+        = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(content.size()), TMemoryBuffer::OBSERVE);
+    TCompactProtocol protocol { buffer };
+    try {
+        envelope.read(&protocol);
+    } catch (apache::thrift::TException const&) {
+        return false;
+    }
+    return true;
+}
+
+std::optional<Envelope> EnvelopeOpener::open(std::span<std::uint8_t const> datagram)
+{
+    if (datagram.size() <= TagSize)
+        return reject(OpenError::TooShort);
+    auto content = datagram.first(datagram.size() - TagSize);
+    auto tag = computeTag(m_key, content);
+    if (sodium_memcmp(tag.data(), datagram.data() + content.size(), TagSize) != 0)
+        return reject(OpenError::WrongTag);
+
+    Envelope envelope;
+    if (!decode(content, envelope))
+        return reject(OpenError::Malformed);
+    if (envelope.protocolVersion < 1)
+        return reject(OpenError::UnknownVersion);
+
+    Core::VmId senderId { static_cast<std::uint64_t>(envelope.sender) };
+    Core::Incarnation incarnation { static_cast<std::uint64_t>(envelope.incarnation) };
+    auto& sender = m_senders[senderId];
+    if (incarnation < sender.incarnation)
+        return reject(OpenError::OldIncarnation);
+    if (incarnation > sender.incarnation)
+        sender = { incarnation, {} };
+    if (!sender.window.accept(static_cast<std::uint64_t>(envelope.sequence)))
+        return reject(OpenError::Replayed);
+    return envelope;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/Decision.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace Chicorytally::Placement {
+
+enum class PacketKind : std::uint8_t {
+    /// TCP SYN: asks for a new flow.
+    Open,
+    /// Any other packet of a flow, also every UDP packet.
+    Data,
+    /// TCP FIN or RST.
+    Close,
+};
+
+/// What the engine needs to know of one packet.
+struct PacketInfo {
+    Core::FlowKey flow;
+    Core::ServiceId service;
+    PacketKind kind { PacketKind::Data };
+    /// Peer hops that the packet has taken so far.
+    std::uint8_t hopCount { 0 };
+    /// The balancer that handed the packet over; invalid when it came from the fabric.
+    Core::VmId sender;
+    /// The sender has seen earlier packets of the flow.
+    bool isKnownToSender { false };
+};
+
+enum class Verdict : std::uint8_t {
+    /// Encapsulate and send to the upstream.
+    Forward,
+    /// Hand over to another balancer.
+    ForwardToPeer,
+    /// Tell the caller that the open was not run.
+    Refuse,
+    /// Tell the caller that its established flow is given up.
+    Reset,
+    /// Say nothing; the caller's own retransmission is the retry.
+    Drop,
+};
+
+enum class Reason : std::uint8_t {
+    Steady,
+    Record,
+    Baseline,
+    NewFlow,
+    NotOwner,
+    NotSynchronised,
+    UnknownService,
+    NoUpstream,
+    LimitReached,
+    Overloaded,
+    Partitioned,
+    AwaitingAcknowledgement,
+    AvailabilityZoneOut,
+    UpstreamGone,
+    HopLimit,
+};
+
+std::string_view toString(Verdict);
+std::string_view toString(Reason);
+
+struct Decision {
+    Verdict verdict { Verdict::Drop };
+    Reason reason { Reason::UnknownService };
+    /// Valid for Forward.
+    Core::UpstreamId upstream;
+    /// Where GUE packets of the upstream go; valid for Forward.
+    Core::Endpoint destination;
+    /// Valid for ForwardToPeer.
+    Core::VmId peer;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/MemberView.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <vector>
+
+namespace Chicorytally::Placement {
+
+enum class MemberStatus : std::uint8_t {
+    Alive,
+    /// Not heard of for a while; still a member.
+    Suspect,
+    /// Hands its buckets over and owns none.
+    Leaving,
+    /// Unreachable, but not confirmed gone: may still serve on the other side of a partition.
+    Unreachable,
+};
+
+struct Member {
+    Core::VmId vm;
+    Core::Incarnation incarnation;
+    Core::ZoneId zone;
+    MemberStatus status { MemberStatus::Alive };
+    /// Newest configuration revision that is known to be in force at the member.
+    Core::Revision revision;
+};
+
+/// The balancers of the fleet as one of them sees them, itself included. Sorted by VM id.
+struct MemberView {
+    std::vector<Member> members;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -0,0 +1,106 @@
+#include <LibTelemetry/EventLog.h>
+
+#include <algorithm>
+#include <cctype>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace Chicorytally::Telemetry {
+
+static log4cxx::LoggerPtr logger()
+{
+    static auto s_logger = log4cxx::Logger::getLogger("chicorytally");
+    return s_logger;
+}
+
+static log4cxx::LevelPtr toLog4cxx(Level level)
+{
+    switch (level) {
+    case Level::Debug:
+        return log4cxx::Level::getDebug();
+    case Level::Info:
+        return log4cxx::Level::getInfo();
+    case Level::Warn:
+        return log4cxx::Level::getWarn();
+    case Level::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+void initializeLog(Level level)
+{
+    auto layout = std::make_shared<log4cxx::PatternLayout>("time=%d{ISO8601} level=%p %m%n");
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::configure(appender);
+    logger()->setLevel(toLog4cxx(level));
+}
+
+bool parseLevel(std::string_view text, Level& level)
+{
+    if (text == "debug")
+        level = Level::Debug;
+    else if (text == "info")
+        level = Level::Info;
+    else if (text == "warn")
+        level = Level::Warn;
+    else if (text == "error")
+        level = Level::Error;
+    else
+        return false;
+    return true;
+}
+
+static bool needsQuotes(std::string_view value)
+{
+    auto isSpecial = [](unsigned char character) {
+        return std::isspace(character) || std::iscntrl(character) || character == '"' || character == '='
+            || character == '\\';
+    };
+    return value.empty() || std::ranges::any_of(value, isSpecial);
+}
+
+static std::string quote(std::string_view value)
+{
+    std::string quoted { "\"" };
+    for (char character : value) {
+        if (character == '\n') {
+            quoted += "\\n";
+            continue;
+        }
+        if (std::iscntrl(static_cast<unsigned char>(character))) {
+            quoted += '?';
+            continue;
+        }
+        if (character == '"' || character == '\\')
+            quoted += '\\';
+        quoted += character;
+    }
+    return quoted + '"';
+}
+
+std::string formatEvent(std::string_view event, std::initializer_list<Field> fields)
+{
+    std::string line { "event=" };
+    line += event;
+    for (auto const& field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        line += needsQuotes(field.value) ? quote(field.value) : field.value;
+    }
+    return line;
+}
+
+void logEvent(Level level, std::string_view event, std::initializer_list<Field> fields)
+{
+    auto target = logger();
+    auto log4cxxLevel = toLog4cxx(level);
+    if (!target->isEnabledFor(log4cxxLevel))
+        return;
+    target->forcedLog(log4cxxLevel, formatEvent(event, fields));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTelemetry/Telemetry.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/// LibTelemetry: structured logs, metrics and traces.
+
+#include <LibTelemetry/EventLog.h>
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Installs the packages, builds, checks format and lint, and runs all tests. The tests that KNOWN-RED.txt lists may fail;
+# they are run and printed apart.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+Meta/setup.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build
+Meta/lint.sh
+
+known_red=()
+if [ -e KNOWN-RED.txt ]; then
+    mapfile -t known_red < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
+fi
+
+# An entry names a test as Library/Suite/Case.
+passed=0
+failed=0
+for program in build/bin/Test*; do
+    library=${program##*/Test}
+    filters=()
+    for entry in "${known_red[@]}"; do
+        [ "${entry%%/*}" = "$library" ] && filters+=("--run_test=!${entry#*/}")
+    done
+    echo "== $library"
+    if "$program" --log_level=test_suite --report_level=short "${filters[@]}" >"build/$library.log" 2>&1; then
+        passed=$((passed + 1))
+    else
+        failed=$((failed + 1))
+        grep -E 'error|fatal|failed' "build/$library.log" | head -40
+    fi
+    tail -n 3 "build/$library.log"
+done
+for entry in "${known_red[@]}"; do
+    echo "== known red: $entry"
+    "build/bin/Test${entry%%/*}" --run_test="${entry#*/}" --report_level=short || true
+done
+
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/Tests/LibCore/TestIpAddress.cpp
@@ -0,0 +1,30 @@
+#include <LibCore/Core.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally::Core;
+
+BOOST_AUTO_TEST_SUITE(TestIpAddress)
+
+static char const* const GoodEndpoints[] = { "10.0.0.5:6080", "[2001:db8::1]:7000", "127.0.0.1:65535" };
+
+BOOST_DATA_TEST_CASE(EndpointTextSurvivesARoundTrip, boost::unit_test::data::make(GoodEndpoints), text)
+{
+    // Guards against an address that is logged differently from how it was configured.
+    auto endpoint = Endpoint::parse(text);
+    BOOST_REQUIRE(endpoint);
+    BOOST_TEST(endpoint->toString() == text);
+}
+
+static char const* const BadEndpoints[] = { "", "10.0.0.5", "10.0.0.5:", "10.0.0.5:0", "10.0.0.5:65536", "10.0.0.5:1x",
+    "2001:db8::1:7000", "[10.0.0.5]:1", "host:1" };
+
+BOOST_DATA_TEST_CASE(BadEndpointIsRejected, boost::unit_test::data::make(BadEndpoints), text)
+{
+    // Guards against a mistyped setting that binds or forwards somewhere else.
+    BOOST_TEST(!Endpoint::parse(text));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibMessages/TestEnvelope.cpp
@@ -0,0 +1,54 @@
+#include <LibMessages/Messages.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+
+BOOST_AUTO_TEST_SUITE(TestEnvelope)
+
+static Messages::PeerKey keyOf(char digit)
+{
+    return *Messages::PeerKey::fromHex(std::string(2 * Messages::KeySize, digit));
+}
+
+static Messages::EnvelopeSealer sealerOf(std::uint64_t incarnation)
+{
+    return { keyOf('a'), Core::VmId { 5 }, Core::Incarnation { incarnation } };
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedDatagramIsRejected)
+{
+    // Guards against a recorded message that is sent again.
+    auto datagram = sealerOf(1).seal({});
+    Messages::EnvelopeOpener opener { keyOf('a') };
+    BOOST_TEST(opener.open(datagram).has_value());
+    BOOST_TEST(!opener.open(datagram).has_value());
+    BOOST_TEST((opener.lastError() == Messages::OpenError::Replayed));
+}
+
+BOOST_AUTO_TEST_CASE(OlderIncarnationIsRejected)
+{
+    // Guards against a late message of a process that was replaced.
+    auto old = sealerOf(1).seal({});
+    Messages::EnvelopeOpener opener { keyOf('a') };
+    BOOST_TEST(opener.open(sealerOf(2).seal({})).has_value());
+    BOOST_TEST(!opener.open(old).has_value());
+    BOOST_TEST((opener.lastError() == Messages::OpenError::OldIncarnation));
+}
+
+BOOST_AUTO_TEST_CASE(ChangedOrForeignBytesAreRejected)
+{
+    // Guards against messages of an outsider and against corruption, at every byte.
+    auto datagram = sealerOf(1).seal({});
+    Messages::EnvelopeOpener opener { keyOf('a') };
+    for (auto& byte : datagram) {
+        byte ^= 1;
+        BOOST_TEST(!opener.open(datagram).has_value());
+        byte ^= 1;
+    }
+    Messages::EnvelopeOpener otherKey { keyOf('b') };
+    BOOST_TEST(!otherKey.open(datagram).has_value());
+    BOOST_TEST((otherKey.lastError() == Messages::OpenError::WrongTag));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibPacket/TestGue.cpp
@@ -0,0 +1,68 @@
+#include <LibPacket/Packet.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+
+BOOST_AUTO_TEST_SUITE(TestGue)
+
+static Core::FlowKey flowBetween(char const* source, char const* destination)
+{
+    return { *Core::Endpoint::parse(source), *Core::Endpoint::parse(destination), Core::Protocol::Tcp };
+}
+
+static Core::FlowKey const Flows[] = {
+    flowBetween("10.0.0.1:4000", "198.51.100.10:7000"),
+    flowBetween("[2001:db8::1]:4000", "[2001:db8::2]:7000"),
+};
+
+static std::vector<std::uint8_t> withHop(std::vector<std::uint8_t> const& inner, Packet::HopKey const& key)
+{
+    auto header = Packet::gueHopHeader(inner, Core::VmId { 77 }, 1, key);
+    std::vector<std::uint8_t> datagram { header->begin(), header->end() };
+    datagram.insert(datagram.end(), inner.begin(), inner.end());
+    return datagram;
+}
+
+BOOST_DATA_TEST_CASE(PeerHopSurvivesARoundTrip, boost::unit_test::data::xrange(std::size(Flows)), index)
+{
+    // Guards against a peer that sees another flow, sender or hop count than was sent.
+    auto inner = Packet::buildPacket({ .flow = Flows[index], .tcpFlags = Packet::Syn });
+    auto parsed = Packet::parseGue(withHop(inner, {}));
+    BOOST_REQUIRE(parsed && parsed->hop);
+    BOOST_TEST(parsed->hop->sender.value() == 77u);
+    BOOST_TEST(parsed->hop->hopCount == 1);
+    BOOST_TEST(Packet::isAuthentic(*parsed, {}));
+    auto error = Packet::ParseError::None;
+    auto packet = Packet::parse(parsed->inner, error);
+    BOOST_REQUIRE(packet);
+    BOOST_TEST((packet->flow == Flows[index]));
+    BOOST_TEST(packet->isOpening());
+}
+
+BOOST_AUTO_TEST_CASE(HopOfAnotherKeyIsNotAuthentic)
+{
+    // Guards against an outsider that marks its packets as handed over by a balancer.
+    auto inner = Packet::buildPacket({ .flow = Flows[0], .tcpFlags = Packet::Syn });
+    auto datagram = withHop(inner, { 1 });
+    auto parsed = Packet::parseGue(datagram);
+    BOOST_REQUIRE(parsed);
+    BOOST_TEST(!Packet::isAuthentic(*parsed, { 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(TruncatedPacketsAreRejected)
+{
+    // Guards against reads past the end of a datagram that was cut at any byte.
+    for (auto const& flow : Flows) {
+        auto datagram = withHop(Packet::buildPacket({ .flow = flow, .tcpFlags = Packet::Syn }), {});
+        for (std::size_t size = 0; size < datagram.size(); ++size) {
+            auto parsed = Packet::parseGue({ datagram.data(), size });
+            auto error = Packet::ParseError::None;
+            BOOST_TEST((!parsed || !Packet::parse(parsed->inner, error)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
