--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -27,4 +27,4 @@
     touch "$stamps/$hash"
 }
 export -f lint_unit
-printf '%s\0' "${units[@]}" | xargs -0 -P "$(nproc)" -I{} bash -c 'lint_unit {}'
+printf '%s\0' "${units[@]}" | xargs -0 -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_unit {}'
--- a/Meta/preprocess.py
+++ b/Meta/preprocess.py
@@ -15,7 +15,7 @@
         if not entry["file"].endswith("/" + source):
             continue
         words = shlex.split(entry["command"])
-        words = words[: words.index("-o")] + ["-E", entry["file"]]
+        words = words[: words.index("-o")] + ["-E", "-P", entry["file"]]
         if "ccache" in words[0]:
             words = words[1:]
         return subprocess.run(words, cwd=entry["directory"], check=False, stderr=subprocess.DEVNULL).returncode
