--- a/Benchmarks/Report/FigureReport.cpp
+++ b/Benchmarks/Report/FigureReport.cpp
@@ -13,7 +13,8 @@
     return stream.str();
 }
 
-void FigureReport::print(std::string_view name, double value, std::string_view bound, std::string_view unit, bool isWithin)
+void FigureReport::print(
+    std::string_view name, double value, std::string_view bound, std::string_view unit, bool isWithin)
 {
     m_isWithinBounds = m_isWithinBounds && isWithin;
     std::cout << "figure=" << name << " value=" << text(value) << " bound=" << bound << " unit=" << unit;
