LibMessages: Accept several peer keys while one is replaced

Cause: with a single key, balancers of a fleet can't hear each other between the first and the last change of the key, and the flow hash moves with it.

Change: KeyRing seals with one key and accepts several; the flow hash has a key of its own.

--- a/Libraries/LibMessages/Envelope.cpp
+++ b/Libraries/LibMessages/Envelope.cpp
@@ -1,7 +1,6 @@
 #include <LibMessages/Envelope.h>
 
 #include <memory>
-#include <sodium.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -10,52 +9,6 @@
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
-static_assert(KeySize == crypto_generichash_KEYBYTES);
-static_assert(TagSize == crypto_generichash_BYTES_MIN);
-
-std::optional<PeerKey> PeerKey::fromHex(std::string_view text)
-{
-    PeerKey key;
-    std::size_t size = 0;
-    char const* end = nullptr;
-    auto status = sodium_hex2bin(key.m_bytes.data(), KeySize, text.data(), text.size(), nullptr, &size, &end);
-    if (status != 0 || size != KeySize || end != text.data() + text.size())
-        return std::nullopt;
-    return key;
-}
-
-static std::array<std::uint8_t, TagSize> computeTag(PeerKey const& key, std::span<std::uint8_t const> bytes)
-{
-    std::array<std::uint8_t, TagSize> tag;
-    crypto_generichash(tag.data(), tag.size(), bytes.data(), bytes.size(), key.bytes().data(), key.bytes().size());
-    return tag;
-}
-
-std::uint64_t PeerKey::derive(std::string_view purpose) const
-{
-    auto tag = computeTag(*this, { reinterpret_cast<std::uint8_t const*>(purpose.data()), purpose.size() });
-    return Core::hash64(tag);
-}
-
-bool ReplayWindow::accept(std::uint64_t sequence)
-{
-    if (sequence > m_greatest) {
-        auto shift = sequence - m_greatest;
-        m_seen = shift < Width ? m_seen << shift : 0;
-        m_seen |= 1;
-        m_greatest = sequence;
-        return true;
-    }
-    auto age = m_greatest - sequence;
-    if (age >= Width)
-        return false;
-    auto bit = std::uint64_t { 1 } << age;
-    if (m_seen & bit)
-        return false;
-    m_seen |= bit;
-    return true;
-}
-
 std::string_view toString(OpenError error)
 {
     switch (error) {
@@ -75,6 +28,13 @@
     return "unknown";
 }
 
+std::size_t encodedSize(PeerMessage const& message)
+{
+    auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol { buffer };
+    return message.write(&protocol);
+}
+
 EnvelopeSealer::EnvelopeSealer(PeerKey const& key, Core::VmId self, Core::Incarnation incarnation)
     : m_key(key)
     , m_self(self)
@@ -98,13 +58,13 @@
     std::uint32_t size = 0;
     buffer->getBuffer(&data, &size);
     std::vector<std::uint8_t> datagram { data, data + size };
-    auto tag = computeTag(m_key, datagram);
+    auto tag = m_key.tagOf(datagram);
     datagram.insert(datagram.end(), tag.begin(), tag.end());
     return datagram;
 }
 
-EnvelopeOpener::EnvelopeOpener(PeerKey const& key)
-    : m_key(key)
+EnvelopeOpener::EnvelopeOpener(KeyRing keys)
+    : m_keys(std::move(keys))
 {
 }
 
@@ -134,8 +94,7 @@
     if (datagram.size() <= TagSize)
         return reject(OpenError::TooShort);
     auto content = datagram.first(datagram.size() - TagSize);
-    auto tag = computeTag(m_key, content);
-    if (sodium_memcmp(tag.data(), datagram.data() + content.size(), TagSize) != 0)
+    if (!m_keys.isAuthentic(content, datagram.last<TagSize>()))
         return reject(OpenError::WrongTag);
 
     Envelope envelope;
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -7,18 +7,10 @@
 
 static Placement::EngineOptions engineOptions(Settings const& settings)
 {
-    return { .self = Model::vmId(settings.vmName), .hashKey = settings.peerKey.derive("flow hash") };
+    return { .self = Model::vmId(settings.vmName), .hashKey = settings.flowKey };
 }
 
-static Packet::HopKey hopKey(Settings const& settings)
-{
-    Packet::HopKey key;
-    for (std::size_t i = 0; i < key.size(); ++i) {
-        auto word = settings.peerKey.derive(i < 8 ? "peer hop, low half" : "peer hop, high half");
-        key[i] = static_cast<std::uint8_t>(word >> (i % 8 * 8));
-    }
-    return key;
-}
+static Packet::HopKey hopKey(Settings const& settings) { return settings.keys.sealing.derive("peer hop"); }
 
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
@@ -68,7 +60,7 @@
 void Daemon::reload()
 {
     Config::FolderReader reader;
-    auto read = reader.read(m_settings.configurationFolder);
+    auto read = reader.read(*m_settings.configurationFolder);
     if (!read) {
         for (auto const& fault : reader.faults())
             logEvent(Level::Error, "configuration_refused",
