--- /dev/null
+++ b/Libraries/LibLoad/Load.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// LibLoad: how much each upstream may get: limits over the fleet, slow start, health, fair choice, drains, retries and
+/// overload. Knows no sockets, files or system clock.
+
+#include <LibLoad/LoadController.h>
+#include <LibLoad/LoadTypes.h>
