LibConfig: Publish the parser and source interfaces

Cause: configurations arrive from folders, the platform and peers, but only a folder could be read. Change: Parser takes a set of files and a revision; FolderReader reads the set; Source is the common hook interface of all sources. The schema behind the parser is still the thin one.

--- a/Libraries/LibConfig/Config.h
+++ b/Libraries/LibConfig/Config.h
@@ -1,5 +1,9 @@
 #pragma once
 
-/// LibConfig: from a folder of TOML files to a validated configuration.
+/// LibConfig: from TOML files, in a folder or from the platform, to a validated configuration.
 
+#include <LibConfig/Fault.h>
 #include <LibConfig/FolderReader.h>
+#include <LibConfig/Parser.h>
+#include <LibConfig/Source.h>
+#include <LibConfig/SourceFile.h>
--- a/Libraries/LibConfig/FolderReader.cpp
+++ b/Libraries/LibConfig/FolderReader.cpp
@@ -1,112 +1,102 @@
 #include <LibConfig/FolderReader.h>
 
 #include <algorithm>
-#include <toml++/toml.h>
+#include <chrono>
+#include <fstream>
+#include <sstream>
 
 namespace Chicorytally::Config {
 
-std::string Fault::toString() const
+static constexpr std::string_view FileExtension = ".toml";
+static constexpr char const* ReadRemedy = "check the path and its permissions";
+
+// Editors and file synchronisation keep unfinished copies under hidden names.
+static bool isConfigurationFile(std::filesystem::directory_entry const& entry)
 {
-    auto text = file;
-    if (line)
-        text += ":" + std::to_string(line) + ":" + std::to_string(column);
-    text += ": " + cause;
-    if (!remedy.empty())
-        text += "; " + remedy;
-    return text;
+    std::error_code error;
+    auto const& path = entry.path();
+    return path.extension() == FileExtension && !path.filename().string().starts_with('.')
+        && !entry.is_directory(error);
 }
 
 static std::vector<std::filesystem::path> listFiles(std::filesystem::path const& folder, std::error_code& error)
 {
     std::vector<std::filesystem::path> files;
-    for (auto const& entry : std::filesystem::directory_iterator { folder, error }) {
-        if (entry.path().extension() == ".toml")
-            files.push_back(entry.path());
+    std::filesystem::directory_iterator position { folder, error };
+    while (!error && position != std::filesystem::directory_iterator {}) {
+        if (isConfigurationFile(*position))
+            files.push_back(position->path());
+        position.increment(error);
     }
     std::ranges::sort(files);
     return files;
 }
 
-static void mergeTable(toml::table& into, toml::table const& from)
-{
-    for (auto const& [key, node] : from) {
-        auto* present = into.get(key);
-        if (present && present->is_table() && node.is_table())
-            mergeTable(*present->as_table(), *node.as_table());
-        else
-            into.insert_or_assign(key, node);
-    }
-}
-
-// FIXME: Only the keys of the first end-to-end run are read, and faults carry no remedy; the full schema follows.
-static void readUpstreams(toml::table const& table, Model::Service& service)
+void FolderReader::noteModification(std::filesystem::path const& path, std::error_code& error)
 {
-    for (auto const& [name, node] : table) {
-        auto const& values = *node.as_table();
-        Model::Upstream upstream;
-        upstream.name = name.str();
-        upstream.address.address = *Core::IpAddress::parse(values["address"].value_or(std::string_view {}));
-        upstream.address.port = values["port"].value_or(std::uint16_t { 0 });
-        upstream.zone = Model::zoneId(values["zone"].value_or(std::string_view {}));
-        upstream.id = Model::upstreamId(service.id, upstream.name, upstream.address);
-        service.upstreams.push_back(std::move(upstream));
-    }
-    std::ranges::sort(service.upstreams, {}, &Model::Upstream::id);
+    auto time = std::filesystem::last_write_time(path, error);
+    if (error)
+        return;
+    auto sinceEpoch = std::chrono::file_clock::to_sys(time).time_since_epoch();
+    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    auto revision = Core::Revision { static_cast<std::uint64_t>(std::max<std::int64_t>(milliseconds, 1)) };
+    m_newestModification = std::max(m_newestModification, revision);
 }
 
-static Model::Configuration build(toml::table const& root)
+std::optional<SourceFile> FolderReader::readFile(std::filesystem::path const& path)
 {
-    Model::Configuration configuration;
-    if (auto const* services = root["service"].as_table()) {
-        for (auto const& [name, node] : *services) {
-            auto const& values = *node.as_table();
-            Model::Service service;
-            service.name = name.str();
-            service.address.address = *Core::IpAddress::parse(values["address"].value_or(std::string_view {}));
-            service.address.port = values["port"].value_or(std::uint16_t { 0 });
-            service.protocol = values["protocol"].value_or(std::string_view { "tcp" }) == "udp" ? Core::Protocol::Udp
-                                                                                                : Core::Protocol::Tcp;
-            service.id = Model::serviceId(service.name, service.address, service.protocol);
-            if (auto const* upstreams = values["upstream"].as_table())
-                readUpstreams(*upstreams, service);
-            configuration.services.push_back(std::move(service));
-        }
+    auto name = path.filename().string();
+    std::error_code error;
+    noteModification(path, error);
+    if (error) {
+        m_faults.push_back({ name, 0, 0, "can't read the file: " + error.message(), ReadRemedy });
+        return std::nullopt;
     }
-    if (auto const* zones = root["zone"].as_table()) {
-        for (auto const& [name, node] : *zones) {
-            auto isOut = (*node.as_table())["state"].value_or(std::string_view { "in" }) == "out";
-            auto state = isOut ? Model::ZoneState::Out : Model::ZoneState::In;
-            configuration.zones.push_back({ Model::zoneId(name.str()), std::string { name.str() }, state });
-        }
+    std::ifstream stream { path, std::ios::binary };
+    std::ostringstream content;
+    // An empty file sets the fail bit of the target without being an error.
+    if (stream && stream.peek() != std::ifstream::traits_type::eof())
+        content << stream.rdbuf();
+    if (!stream.is_open() || stream.bad()) {
+        m_faults.push_back({ name, 0, 0, "can't read the file", ReadRemedy });
+        return std::nullopt;
     }
-    std::ranges::sort(configuration.services, {}, &Model::Service::id);
-    std::ranges::sort(configuration.zones, {}, &Model::AvailabilityZone::id);
-    return configuration;
+    return SourceFile { std::move(name), std::move(content).str() };
 }
 
-std::optional<Model::Configuration> FolderReader::read(std::filesystem::path const& folder)
+std::optional<std::vector<SourceFile>> FolderReader::readFiles(std::filesystem::path const& folder)
 {
     m_faults.clear();
+    m_newestModification = {};
     std::error_code error;
-    auto files = listFiles(folder, error);
+    auto paths = listFiles(folder, error);
+    if (!error)
+        noteModification(folder, error);
     if (error) {
-        m_faults.push_back({ folder.string(), 0, 0, "can't read the folder: " + error.message(),
-            "check the path and its permissions" });
+        m_faults.push_back({ folder.string(), 0, 0, "can't read the folder: " + error.message(), ReadRemedy });
         return std::nullopt;
     }
-    toml::table merged;
-    for (auto const& file : files) {
-        try {
-            mergeTable(merged, toml::parse_file(file.string()));
-        } catch (toml::parse_error const& parseError) {
-            auto position = parseError.source().begin;
-            m_faults.push_back({ file.filename().string(), position.line, position.column,
-                std::string { parseError.description() }, "" });
-        }
+    std::vector<SourceFile> files;
+    for (auto const& path : paths) {
+        if (auto file = readFile(path))
+            files.push_back(std::move(*file));
     }
     if (!m_faults.empty())
         return std::nullopt;
-    return build(merged);
+    return files;
+}
+
+std::optional<Model::Configuration> FolderReader::read(std::filesystem::path const& folder)
+{
+    auto files = readFiles(folder);
+    if (!files)
+        return std::nullopt;
+    Parser parser;
+    auto configuration = parser.parse(*files, {});
+    m_faults = parser.faults();
+    if (configuration && !configuration->revision.isValid())
+        configuration->revision = m_newestModification;
+    return configuration;
 }
 
 }
--- a/Libraries/LibConfig/FolderReader.h
+++ b/Libraries/LibConfig/FolderReader.h
@@ -1,35 +1,31 @@
 #pragma once
 
-#include <LibModel/Model.h>
+#include <LibConfig/Parser.h>
 
 #include <filesystem>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace Chicorytally::Config {
 
-/// A fault in a configuration file.
-struct Fault {
-    std::string file;
-    /// Counted from 1; 0 when the fault has no position.
-    std::uint32_t line { 0 };
-    std::uint32_t column { 0 };
-    std::string cause;
-    std::string remedy;
-
-    std::string toString() const;
-};
-
-/// Reads a folder of TOML files, merged in the order of their names. All faults are collected; a folder with any fault
-/// gives no configuration.
+/// Reads the `.toml` files of a folder; hidden files and subfolders are left out. Not thread-safe.
 class FolderReader {
 public:
+    /// Reads and parses. The revision is the `revision` key of the files, or else newestModification().
     std::optional<Model::Configuration> read(std::filesystem::path const& folder);
+    /// The files, sorted by name; nothing when the folder or one of its files can't be read.
+    std::optional<std::vector<SourceFile>> readFiles(std::filesystem::path const& folder);
     std::vector<Fault> const& faults() const { return m_faults; }
+    /// Newest modification time of the folder and its files that were read last, in milliseconds since 1970. The folder
+    /// counts because the removal of a file changes nothing else.
+    Core::Revision newestModification() const { return m_newestModification; }
 
 private:
+    void noteModification(std::filesystem::path const&, std::error_code&);
+    std::optional<SourceFile> readFile(std::filesystem::path const&);
+
     std::vector<Fault> m_faults;
+    Core::Revision m_newestModification;
 };
 
 }
