LibTelemetry: Add metrics, tracer and admin server

Operators could only read the log; the packet path counted into four numbers per worker. Metrics holds counters with a part per thread, gauges and Boost.Histogram distributions and renders them as Prometheus text. Tracer samples flows by their hash, so that all balancers trace the same flows, and writes OTLP/JSON.

--- a/Libraries/LibTelemetry/Telemetry.h
+++ b/Libraries/LibTelemetry/Telemetry.h
@@ -1,5 +1,9 @@
 #pragma once
 
-/// LibTelemetry: structured logs, metrics and traces.
+/// LibTelemetry: structured logs, metrics, traces and the HTTP server of operators.
 
+#include <LibTelemetry/AdminServer.h>
+#include <LibTelemetry/Distribution.h>
 #include <LibTelemetry/EventLog.h>
+#include <LibTelemetry/Metrics.h>
+#include <LibTelemetry/Tracer.h>
