chicorytallyd: Connect membership, distribution, load and placement

Cause: the daemon only forwarded packets; nothing carried messages between balancers, probed upstreams or answered operators.

Change: a control thread that drives the controllers over the authenticated channel, a configuration controller that applies a file set whole or not at all, probes over HTTP, routes for operators, graceful shutdown.

--- /dev/null
+++ b/Services/chicorytallyd/ControlLoop.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "PeerChannel.h"
+#include "ProbeRunner.h"
+
+#include <LibDistribution/Distribution.h>
+#include <LibLoad/Load.h>
+#include <LibMembership/Membership.h>
+#include <LibPlacement/Placement.h>
+
+#include <atomic>
+#include <thread>
+
+namespace Chicorytally::Daemon {
+
+/// The controllers that the control thread drives. They must outlive it.
+struct Controllers {
+    Membership::Controller& membership;
+    Distribution::Controller& distribution;
+    Placement::Engine& engine;
+    Load::LoadController& load;
+    ProbeRunner& probes;
+};
+
+/// The control thread: carries messages between balancers and the controllers, and calls their ticks.
+class ControlLoop {
+public:
+    ControlLoop(Core::Clock const&, Controllers, std::unique_ptr<PeerChannel>);
+    ControlLoop(ControlLoop const&) = delete;
+    ControlLoop& operator=(ControlLoop const&) = delete;
+    ~ControlLoop();
+
+    void start();
+    void stop();
+    /// To be called when the member list or a member's state has changed; takes effect before the next tick.
+    void noteMembersChanged() { m_areMembersChanged = true; }
+    /// To be called when this process took a greater incarnation.
+    void noteIncarnation(Core::Incarnation incarnation) { m_incarnation = incarnation.value(); }
+    PeerChannelCounters const& counters() const { return m_channel->counters(); }
+
+private:
+    void run();
+    void tick();
+    void applyMembers();
+    void dispatch(Messages::Envelope const&, Core::Endpoint const& from);
+    void queueMembership();
+    void queueTo(Core::VmId receiver, Messages::PeerMessage);
+
+    Core::Clock const& m_clock;
+    Controllers m_controllers;
+    std::unique_ptr<PeerChannel> m_channel;
+    std::atomic<bool> m_areMembersChanged { true };
+    std::atomic<std::uint64_t> m_incarnation { 0 };
+    std::atomic<bool> m_isStopping { false };
+    std::thread m_thread;
+};
+
+/// The members as LibPlacement sees them; dead ones are left out.
+Placement::MemberView toMemberView(std::vector<Membership::Member> const&);
+/// The members as LibLoad sees them.
+std::vector<Load::LoadMember> toLoadMembers(std::vector<Membership::Member> const&);
+/// The members that LibDistribution can reach.
+std::vector<Distribution::Peer> toPeers(std::vector<Membership::Member> const&);
+
+}
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -1,43 +1,125 @@
 #include "Daemon.h"
 
+#include "AdminRoutes.h"
+
 namespace Chicorytally::Daemon {
 
 using Telemetry::Level;
 using Telemetry::logEvent;
 
+// After the departure was announced, a fabric needs up to this long to send its packets elsewhere.
+static constexpr std::chrono::milliseconds QuietTime { 2000 };
+static constexpr std::chrono::milliseconds DrainPollInterval { 100 };
+
+// The start time orders the processes of a VM: VMs keep nothing from which a counter could go on.
+static Core::Incarnation startIncarnation()
+{
+    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Core::Incarnation { static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()) };
+}
+
+static Load::LoadOptions loadOptions(Settings const& settings, Core::Incarnation incarnation)
+{
+    return {
+        .self = Model::vmId(settings.vmName), .zone = Model::zoneId(settings.zoneName), .incarnation = incarnation
+    };
+}
+
 static Placement::EngineOptions engineOptions(Settings const& settings)
 {
-    return { .self = Model::vmId(settings.vmName), .hashKey = settings.flowKey };
+    return { .self = Model::vmId(settings.vmName), .hashKey = settings.flowKey, .maxRecords = settings.maxFlows };
+}
+
+static Placement::EngineHooks engineHooks(Load::LoadController& load)
+{
+    return {
+        .select = [&load](Placement::SelectionRequest const& request) { return load.select(request); },
+        .flowOpened
+        = [&load](Core::ServiceId service, Core::UpstreamId upstream) { load.flowOpened(service, upstream); },
+        .flowClosed
+        = [&load](Core::ServiceId service, Core::UpstreamId upstream) { load.flowClosed(service, upstream); },
+    };
+}
+
+static Membership::Options membershipOptions(Settings const& settings, Core::Incarnation incarnation)
+{
+    return { .self = Model::vmId(settings.vmName),
+        .zone = Model::zoneId(settings.zoneName),
+        .endpoint = settings.peerAddress,
+        .dataPort = settings.dataAddress.port,
+        .incarnation = incarnation,
+        .seeds = settings.seeds,
+        .randomSeed = incarnation.value() };
+}
+
+static Distribution::Options distributionOptions(Settings const& settings, Core::Incarnation incarnation)
+{
+    return { .self = Model::vmId(settings.vmName),
+        .zone = Model::zoneId(settings.zoneName),
+        .randomSeed = incarnation.value() };
 }
 
 static Packet::HopKey hopKey(Settings const& settings) { return settings.keys.sealing.derive("peer hop"); }
 
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
-    , m_engine(m_clock, engineOptions(m_settings), {})
+    , m_self(Model::vmId(m_settings.vmName))
+    , m_incarnation(startIncarnation())
+    , m_load(m_clock, loadOptions(m_settings, m_incarnation))
+    , m_engine(m_clock, engineOptions(m_settings), engineHooks(m_load))
+    , m_configuration([this](auto const& configuration) {
+        m_load.applyConfiguration(configuration);
+        m_engine.applyConfiguration(configuration);
+    })
+    , m_membership(m_clock, membershipOptions(m_settings, m_incarnation),
+          { .membersChanged =
+                  [this] {
+                      if (m_control)
+                          m_control->noteMembersChanged();
+                  },
+              .incarnationChanged
+              = [this](Core::Incarnation incarnation) { m_control->noteIncarnation(incarnation); } })
+    , m_distribution(m_clock, distributionOptions(m_settings, m_incarnation),
+          { .accept = [this](Core::Revision revision, Distribution::FileSet const& files,
+                          std::string& reason) { return m_configuration.accept(revision, files, reason); } })
+    , m_probes([this](Core::UpstreamId upstream, Load::UpstreamReport const& report) {
+        m_load.recordReport(upstream, report);
+    })
 {
 }
 
+Daemon::~Daemon() = default;
+
 std::unique_ptr<Daemon> Daemon::create(Settings settings, std::string& error)
 {
     std::unique_ptr<Daemon> daemon { new Daemon { std::move(settings) } };
-    if (!daemon->createWorkers(error))
+    if (!daemon->createControl(error) || !daemon->createWorkers(error) || !daemon->createAdminServer(error))
         return nullptr;
-    daemon->reload();
+    daemon->createMetrics();
     return daemon;
 }
 
+bool Daemon::createControl(std::string& error)
+{
+    auto channel = PeerChannel::create(m_settings.peerAddress, m_settings.keys, m_self, m_incarnation, error);
+    if (!channel)
+        return false;
+    Controllers controllers { m_membership, m_distribution, m_engine, m_load, m_probes };
+    m_control = std::make_unique<ControlLoop>(m_clock, controllers, std::move(channel));
+    return true;
+}
+
 bool Daemon::createWorkers(std::string& error)
 {
     auto key = hopKey(m_settings);
-    auto self = Model::vmId(m_settings.vmName);
-    auto configurationSource = [this] { return configuration(); };
-    auto peerAddressSource = [](Core::VmId) -> std::optional<Core::Endpoint> { return std::nullopt; };
+    auto configurationSource = [this] { return m_configuration.configuration(); };
+    auto peerAddressSource = [this](Core::VmId vm) { return m_membership.dataEndpointOf(vm); };
     auto chain = std::make_shared<DataPath::FilterChain const>(std::vector<DataPath::Filter> {
         DataPath::makeParseFilter(key),
         DataPath::makeServiceFilter(configurationSource),
         DataPath::makePlacementFilter(m_engine),
-        DataPath::makeEncapsulationFilter(key, self, peerAddressSource),
+        DataPath::makeEncapsulationFilter(key, m_self, peerAddressSource),
     });
     for (std::size_t i = 0; i < m_settings.workers; ++i) {
         DataPath::SocketError socketError;
@@ -51,49 +133,109 @@
     return true;
 }
 
-std::shared_ptr<Model::Configuration const> Daemon::configuration() const
+bool Daemon::createAdminServer(std::string& error)
+{
+    if (!m_settings.adminAddress)
+        return true;
+    m_adminServer = Telemetry::AdminServer::create(*m_settings.adminAddress, error);
+    if (!m_adminServer) {
+        error = "--admin_address=" + m_settings.adminAddress->toString() + ": " + error;
+        return false;
+    }
+    addAdminRoutes(*m_adminServer,
+        { m_settings.vmName, m_settings.zoneName, m_metrics, m_configuration, m_membership, m_distribution, m_engine,
+            m_load, [this] { return isReady(); } });
+    return true;
+}
+
+void Daemon::createMetrics()
 {
-    absl::MutexLock lock { &m_lock };
-    return m_configuration;
+    auto const& control = m_control->counters();
+    auto observe = [this](char const* name, char const* help, std::atomic<std::uint64_t> const& counter) {
+        m_metrics.observeCounter(name, help, [&counter] { return static_cast<double>(counter.load()); });
+    };
+    observe("chicorytally_control_sent_bytes_total", "Bytes of messages sent to balancers", control.bytesSent);
+    observe("chicorytally_control_received_bytes_total", "Bytes of messages received", control.bytesReceived);
+    observe("chicorytally_control_sent_datagrams_total", "Datagrams sent to balancers", control.datagramsSent);
+    observe(
+        "chicorytally_control_rejected_total", "Datagrams that were not authentic, new or decodable", control.rejected);
+    m_metrics.observe("chicorytally_revision", "Configuration revision in force",
+        [this] { return static_cast<double>(m_distribution.revision().value()); });
+    m_metrics.observe(
+        "chicorytally_ready", "1 when packets may be sent to this balancer", [this] { return isReady() ? 1 : 0; });
 }
 
+bool Daemon::isReady() const { return !m_isStopping && m_configuration.version() > 0 && m_membership.isConfirmed(); }
+
 void Daemon::reload()
 {
+    if (!m_settings.configurationFolder)
+        return;
     Config::FolderReader reader;
-    auto read = reader.read(*m_settings.configurationFolder);
-    if (!read) {
-        for (auto const& fault : reader.faults())
-            logEvent(Level::Error, "configuration_refused",
-                { { "file", fault.file }, { "line", fault.line }, { "cause", fault.cause },
-                    { "remedy", fault.remedy } });
+    auto configuration = reader.read(*m_settings.configurationFolder);
+    if (!configuration) {
+        logFaults(m_settings.configurationFolder->string(), reader.faults());
         return;
     }
-    auto next = std::make_shared<Model::Configuration const>(std::move(*read));
-    m_engine.applyConfiguration(next);
-    logEvent(Level::Info, "configuration_in_force",
-        { { "revision", next->revision.value() }, { "services", next->services.size() },
-            { "zones", next->zones.size() } });
-    absl::MutexLock lock { &m_lock };
-    m_configuration = std::move(next);
+    auto files = reader.readFiles(*m_settings.configurationFolder);
+    if (files)
+        m_distribution.offerPlatformCopy(configuration->revision, toFileSet(*files));
 }
 
 void Daemon::start()
 {
+    reload();
+    m_control->start();
     for (auto& worker : m_workers)
         worker->start();
+    if (m_adminServer)
+        m_adminServer->start();
     logEvent(Level::Info, "started",
         { { "vm", m_settings.vmName }, { "zone", m_settings.zoneName },
-            { "data_address", m_settings.dataAddress.toString() }, { "workers", m_workers.size() } });
+            { "data_address", m_settings.dataAddress.toString() },
+            { "peer_address", m_settings.peerAddress.toString() }, { "workers", m_workers.size() },
+            { "incarnation", m_incarnation.value() } });
+}
+
+std::uint64_t Daemon::receivedPackets() const
+{
+    std::uint64_t received = 0;
+    for (auto const& worker : m_workers)
+        received += worker->counters().received;
+    return received;
+}
+
+void Daemon::waitUntilDrained()
+{
+    auto deadline = m_clock.now() + m_settings.shutdownDeadline;
+    auto quietSince = m_clock.now();
+    auto received = receivedPackets();
+    while (m_clock.now() < deadline) {
+        if (m_engine.isDrained() && m_clock.now() - quietSince >= QuietTime)
+            return;
+        std::this_thread::sleep_for(DrainPollInterval);
+        if (receivedPackets() == received)
+            continue;
+        received = receivedPackets();
+        quietSince = m_clock.now();
+    }
+    logEvent(Level::Warn, "shutdown_deadline_passed", { { "drained", m_engine.isDrained() } });
 }
 
 void Daemon::stop()
 {
-    std::uint64_t forwarded = 0;
-    for (auto& worker : m_workers) {
+    m_isStopping = true;
+    logEvent(Level::Info, "shutdown_started", { { "vm", m_settings.vmName } });
+    m_membership.announceLeave();
+    m_engine.prepareShutdown();
+    waitUntilDrained();
+    for (auto& worker : m_workers)
         worker->stop();
-        forwarded += worker->counters().forwarded;
-    }
-    logEvent(Level::Info, "stopped", { { "vm", m_settings.vmName }, { "forwarded", forwarded } });
+    m_control->stop();
+    m_probes.stop();
+    if (m_adminServer)
+        m_adminServer->stop();
+    logEvent(Level::Info, "stopped", { { "vm", m_settings.vmName }, { "received", receivedPackets() } });
 }
 
 }
--- a/Services/chicorytallyd/Daemon.h
+++ b/Services/chicorytallyd/Daemon.h
@@ -1,11 +1,19 @@
 #pragma once
 
+#include "ConfigurationController.h"
+#include "ControlLoop.h"
+#include "ProbeRunner.h"
 #include "Settings.h"
 
 #include <LibConfig/Config.h>
 #include <LibDataPath/DataPath.h>
+#include <LibDistribution/Distribution.h>
+#include <LibLoad/Load.h>
+#include <LibMembership/Membership.h>
 #include <LibPlacement/Placement.h>
+#include <LibTelemetry/Telemetry.h>
 
+#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -16,24 +24,42 @@
 public:
     /// Nothing when a part can't be made; the error says why.
     static std::unique_ptr<Daemon> create(Settings, std::string& error);
+    ~Daemon();
 
-    /// Reads the configuration folder again; a faulty one is refused whole.
-    void reload();
     void start();
+    /// Reads the configuration folder again; a faulty one is refused as a whole.
+    void reload();
+    /// Graceful shutdown: announces the departure, hands flow records over and forwards until no more packets arrive or
+    /// the deadline passes.
     void stop();
 
 private:
     explicit Daemon(Settings);
 
+    bool createControl(std::string& error);
     bool createWorkers(std::string& error);
-    std::shared_ptr<Model::Configuration const> configuration() const;
+    bool createAdminServer(std::string& error);
+    void createMetrics();
+    bool isReady() const;
+    std::uint64_t receivedPackets() const;
+    void waitUntilDrained();
 
     Settings m_settings;
     Core::SystemClock m_clock;
+    Core::VmId m_self;
+    Core::Incarnation m_incarnation;
+    std::atomic<bool> m_isStopping { false };
+
+    Load::LoadController m_load;
     Placement::Engine m_engine;
-    mutable absl::Mutex m_lock;
-    std::shared_ptr<Model::Configuration const> m_configuration ABSL_GUARDED_BY(m_lock);
+    ConfigurationController m_configuration;
+    Membership::Controller m_membership;
+    Distribution::Controller m_distribution;
+    ProbeRunner m_probes;
+    Telemetry::Metrics m_metrics;
+    std::unique_ptr<ControlLoop> m_control;
     std::vector<std::unique_ptr<DataPath::Worker>> m_workers;
+    std::unique_ptr<Telemetry::AdminServer> m_adminServer;
 };
 
 }
