--- a/Libraries/LibMessages/gen/placement_types.cpp
+++ b/Libraries/LibMessages/gen/placement_types.cpp
@@ -13,35 +13,70 @@
 
 namespace Chicorytally { namespace Messages {
 
+int _kGroupOrderKindValues[] = {
+  GroupOrderKind::BackupSynchronised,
+  GroupOrderKind::BackupReleased,
+  GroupOrderKind::Activate,
+  GroupOrderKind::Grant
+};
+const char* _kGroupOrderKindNames[] = {
+  "BackupSynchronised",
+  "BackupReleased",
+  "Activate",
+  "Grant"
+};
+const std::map<int, const char*> _GroupOrderKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kGroupOrderKindValues, _kGroupOrderKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const GroupOrderKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _GroupOrderKind_VALUES_TO_NAMES.find(val);
+  if (it != _GroupOrderKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
 
-TrackNotice::~TrackNotice() noexcept {
+std::string to_string(const GroupOrderKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _GroupOrderKind_VALUES_TO_NAMES.find(val);
+  if (it != _GroupOrderKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
 }
 
 
-void TrackNotice::__set_serviceId(const int64_t val) {
-  this->serviceId = val;
+UpstreamReference::~UpstreamReference() noexcept {
 }
 
-void TrackNotice::__set_revision(const int64_t val) {
-  this->revision = val;
+
+void UpstreamReference::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void TrackNotice::__set_tracked(const std::string& val) {
-  this->tracked = val;
+void UpstreamReference::__set_address(const std::string& val) {
+  this->address = val;
+__isset.address = true;
 }
 
-void TrackNotice::__set_epoch(const int64_t val) {
-  this->epoch = val;
-__isset.epoch = true;
+void UpstreamReference::__set_port(const int32_t val) {
+  this->port = val;
+__isset.port = true;
 }
-std::ostream& operator<<(std::ostream& out, const TrackNotice& obj)
+
+void UpstreamReference::__set_zoneId(const int64_t val) {
+  this->zoneId = val;
+__isset.zoneId = true;
+}
+std::ostream& operator<<(std::ostream& out, const UpstreamReference& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TrackNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t UpstreamReference::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -53,9 +88,7 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_serviceId = false;
-  bool isset_revision = false;
-  bool isset_tracked = false;
+  bool isset_id = false;
 
   while (true)
   {
@@ -67,32 +100,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->serviceId);
-          isset_serviceId = true;
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          isset_revision = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->tracked);
-          isset_tracked = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+          xfer += iprot->readI64(this->zoneId);
+          this->__isset.zoneId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -106,35 +139,33 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_serviceId)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_revision)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_tracked)
+  if (!isset_id)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t TrackNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t UpstreamReference::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TrackNotice");
-
-  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->serviceId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("UpstreamReference");
 
-  xfer += oprot->writeFieldBegin("tracked", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->tracked);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.epoch) {
-    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 4);
-    xfer += oprot->writeI64(this->epoch);
+  if (this->__isset.address) {
+    xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->address);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.port) {
+    xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->port);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.zoneId) {
+    xfer += oprot->writeFieldBegin("zoneId", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->zoneId);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -142,80 +173,89 @@
   return xfer;
 }
 
-void swap(TrackNotice &a, TrackNotice &b) {
+void swap(UpstreamReference &a, UpstreamReference &b) {
   using ::std::swap;
-  swap(a.serviceId, b.serviceId);
-  swap(a.revision, b.revision);
-  swap(a.tracked, b.tracked);
-  swap(a.epoch, b.epoch);
+  swap(a.id, b.id);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.zoneId, b.zoneId);
   swap(a.__isset, b.__isset);
 }
 
-TrackNotice::TrackNotice(const TrackNotice& other0) {
-  serviceId = other0.serviceId;
-  revision = other0.revision;
-  tracked = other0.tracked;
-  epoch = other0.epoch;
+UpstreamReference::UpstreamReference(const UpstreamReference& other0) {
+  id = other0.id;
+  address = other0.address;
+  port = other0.port;
+  zoneId = other0.zoneId;
   __isset = other0.__isset;
 }
-TrackNotice::TrackNotice(TrackNotice&& other1) noexcept {
-  serviceId = other1.serviceId;
-  revision = other1.revision;
-  tracked = std::move(other1.tracked);
-  epoch = other1.epoch;
+UpstreamReference::UpstreamReference(UpstreamReference&& other1) noexcept {
+  id = other1.id;
+  address = std::move(other1.address);
+  port = other1.port;
+  zoneId = other1.zoneId;
   __isset = other1.__isset;
 }
-TrackNotice& TrackNotice::operator=(const TrackNotice& other2) {
-  serviceId = other2.serviceId;
-  revision = other2.revision;
-  tracked = other2.tracked;
-  epoch = other2.epoch;
+UpstreamReference& UpstreamReference::operator=(const UpstreamReference& other2) {
+  id = other2.id;
+  address = other2.address;
+  port = other2.port;
+  zoneId = other2.zoneId;
   __isset = other2.__isset;
   return *this;
 }
-TrackNotice& TrackNotice::operator=(TrackNotice&& other3) noexcept {
-  serviceId = other3.serviceId;
-  revision = other3.revision;
-  tracked = std::move(other3.tracked);
-  epoch = other3.epoch;
+UpstreamReference& UpstreamReference::operator=(UpstreamReference&& other3) noexcept {
+  id = other3.id;
+  address = std::move(other3.address);
+  port = other3.port;
+  zoneId = other3.zoneId;
   __isset = other3.__isset;
   return *this;
 }
-void TrackNotice::printTo(std::ostream& out) const {
+void UpstreamReference::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TrackNotice(";
-  out << "serviceId=" << to_string(serviceId);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "tracked=" << to_string(tracked);
-  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << "UpstreamReference(";
+  out << "id=" << to_string(id);
+  out << ", " << "address="; (__isset.address ? (out << to_string(address)) : (out << "<null>"));
+  out << ", " << "port="; (__isset.port ? (out << to_string(port)) : (out << "<null>"));
+  out << ", " << "zoneId="; (__isset.zoneId ? (out << to_string(zoneId)) : (out << "<null>"));
   out << ")";
 }
 
 
-TrackAcknowledgement::~TrackAcknowledgement() noexcept {
+BucketEntry::~BucketEntry() noexcept {
 }
 
 
-void TrackAcknowledgement::__set_serviceId(const int64_t val) {
-  this->serviceId = val;
+void BucketEntry::__set_bucket(const int32_t val) {
+  this->bucket = val;
 }
 
-void TrackAcknowledgement::__set_revision(const int64_t val) {
-  this->revision = val;
+void BucketEntry::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void TrackAcknowledgement::__set_epoch(const int64_t val) {
-  this->epoch = val;
-__isset.epoch = true;
+void BucketEntry::__set_baseline(const int32_t val) {
+  this->baseline = val;
+}
+
+void BucketEntry::__set_tracked(const bool val) {
+  this->tracked = val;
+__isset.tracked = true;
+}
+
+void BucketEntry::__set_baselineClosed(const bool val) {
+  this->baselineClosed = val;
+__isset.baselineClosed = true;
 }
-std::ostream& operator<<(std::ostream& out, const TrackAcknowledgement& obj)
+std::ostream& operator<<(std::ostream& out, const BucketEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TrackAcknowledgement::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t BucketEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -227,8 +267,9 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_serviceId = false;
-  bool isset_revision = false;
+  bool isset_bucket = false;
+  bool isset_epoch = false;
+  bool isset_baseline = false;
 
   while (true)
   {
@@ -239,25 +280,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->serviceId);
-          isset_serviceId = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bucket);
+          isset_bucket = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          isset_revision = true;
+          xfer += iprot->readI64(this->epoch);
+          isset_epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->baseline);
+          isset_baseline = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tracked);
+          this->__isset.tracked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->baselineClosed);
+          this->__isset.baselineClosed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -271,29 +328,40 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_serviceId)
+  if (!isset_bucket)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_epoch)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_revision)
+  if (!isset_baseline)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t TrackAcknowledgement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t BucketEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TrackAcknowledgement");
+  xfer += oprot->writeStructBegin("BucketEntry");
 
-  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldBegin("bucket", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->bucket);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.epoch) {
-    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
-    xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("baseline", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->baseline);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.tracked) {
+    xfer += oprot->writeFieldBegin("tracked", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->tracked);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.baselineClosed) {
+    xfer += oprot->writeFieldBegin("baselineClosed", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->baselineClosed);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -301,88 +369,94 @@
   return xfer;
 }
 
-void swap(TrackAcknowledgement &a, TrackAcknowledgement &b) {
+void swap(BucketEntry &a, BucketEntry &b) {
   using ::std::swap;
-  swap(a.serviceId, b.serviceId);
-  swap(a.revision, b.revision);
+  swap(a.bucket, b.bucket);
   swap(a.epoch, b.epoch);
+  swap(a.baseline, b.baseline);
+  swap(a.tracked, b.tracked);
+  swap(a.baselineClosed, b.baselineClosed);
   swap(a.__isset, b.__isset);
 }
 
-TrackAcknowledgement::TrackAcknowledgement(const TrackAcknowledgement& other4) noexcept {
-  serviceId = other4.serviceId;
-  revision = other4.revision;
+BucketEntry::BucketEntry(const BucketEntry& other4) noexcept {
+  bucket = other4.bucket;
   epoch = other4.epoch;
+  baseline = other4.baseline;
+  tracked = other4.tracked;
+  baselineClosed = other4.baselineClosed;
   __isset = other4.__isset;
 }
-TrackAcknowledgement::TrackAcknowledgement(TrackAcknowledgement&& other5) noexcept {
-  serviceId = other5.serviceId;
-  revision = other5.revision;
+BucketEntry::BucketEntry(BucketEntry&& other5) noexcept {
+  bucket = other5.bucket;
   epoch = other5.epoch;
+  baseline = other5.baseline;
+  tracked = other5.tracked;
+  baselineClosed = other5.baselineClosed;
   __isset = other5.__isset;
 }
-TrackAcknowledgement& TrackAcknowledgement::operator=(const TrackAcknowledgement& other6) noexcept {
-  serviceId = other6.serviceId;
-  revision = other6.revision;
+BucketEntry& BucketEntry::operator=(const BucketEntry& other6) noexcept {
+  bucket = other6.bucket;
   epoch = other6.epoch;
+  baseline = other6.baseline;
+  tracked = other6.tracked;
+  baselineClosed = other6.baselineClosed;
   __isset = other6.__isset;
   return *this;
 }
-TrackAcknowledgement& TrackAcknowledgement::operator=(TrackAcknowledgement&& other7) noexcept {
-  serviceId = other7.serviceId;
-  revision = other7.revision;
+BucketEntry& BucketEntry::operator=(BucketEntry&& other7) noexcept {
+  bucket = other7.bucket;
   epoch = other7.epoch;
+  baseline = other7.baseline;
+  tracked = other7.tracked;
+  baselineClosed = other7.baselineClosed;
   __isset = other7.__isset;
   return *this;
 }
-void TrackAcknowledgement::printTo(std::ostream& out) const {
+void BucketEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TrackAcknowledgement(";
-  out << "serviceId=" << to_string(serviceId);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << "BucketEntry(";
+  out << "bucket=" << to_string(bucket);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "baseline=" << to_string(baseline);
+  out << ", " << "tracked="; (__isset.tracked ? (out << to_string(tracked)) : (out << "<null>"));
+  out << ", " << "baselineClosed="; (__isset.baselineClosed ? (out << to_string(baselineClosed)) : (out << "<null>"));
   out << ")";
 }
 
 
-FlowRecordCopy::~FlowRecordCopy() noexcept {
+BucketNotice::~BucketNotice() noexcept {
 }
 
 
-void FlowRecordCopy::__set_flowLow(const int64_t val) {
-  this->flowLow = val;
-}
-
-void FlowRecordCopy::__set_flowHigh(const int64_t val) {
-  this->flowHigh = val;
+void BucketNotice::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
 }
 
-void FlowRecordCopy::__set_upstream(const int64_t val) {
-  this->upstream = val;
+void BucketNotice::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void FlowRecordCopy::__set_revision(const int64_t val) {
-  this->revision = val;
-__isset.revision = true;
+void BucketNotice::__set_upstreams(const std::vector<UpstreamReference> & val) {
+  this->upstreams = val;
 }
 
-void FlowRecordCopy::__set_ageMilliseconds(const int32_t val) {
-  this->ageMilliseconds = val;
-__isset.ageMilliseconds = true;
+void BucketNotice::__set_entries(const std::vector<BucketEntry> & val) {
+  this->entries = val;
 }
 
-void FlowRecordCopy::__set_removed(const bool val) {
-  this->removed = val;
-__isset.removed = true;
+void BucketNotice::__set_correction(const bool val) {
+  this->correction = val;
+__isset.correction = true;
 }
-std::ostream& operator<<(std::ostream& out, const FlowRecordCopy& obj)
+std::ostream& operator<<(std::ostream& out, const BucketNotice& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FlowRecordCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t BucketNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -394,9 +468,10 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_flowLow = false;
-  bool isset_flowHigh = false;
-  bool isset_upstream = false;
+  bool isset_serviceId = false;
+  bool isset_sequence = false;
+  bool isset_upstreams = false;
+  bool isset_entries = false;
 
   while (true)
   {
@@ -408,48 +483,64 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->flowLow);
-          isset_flowLow = true;
+          xfer += iprot->readI64(this->serviceId);
+          isset_serviceId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->flowHigh);
-          isset_flowHigh = true;
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->upstream);
-          isset_upstream = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->upstreams.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
+              xfer += this->upstreams[_i12].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->entries.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
+            {
+              xfer += this->entries[_i17].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->ageMilliseconds);
-          this->__isset.ageMilliseconds = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->removed);
-          this->__isset.removed = true;
+          xfer += iprot->readBool(this->correction);
+          this->__isset.correction = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -463,45 +554,57 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_flowLow)
+  if (!isset_serviceId)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_flowHigh)
+  if (!isset_sequence)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_upstream)
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entries)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t FlowRecordCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t BucketNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FlowRecordCopy");
+  xfer += oprot->writeStructBegin("BucketNotice");
 
-  xfer += oprot->writeFieldBegin("flowLow", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->flowLow);
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("flowHigh", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->flowHigh);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<UpstreamReference> ::const_iterator _iter18;
+    for (_iter18 = this->upstreams.begin(); _iter18 != this->upstreams.end(); ++_iter18)
+    {
+      xfer += (*_iter18).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.revision) {
-    xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
-    xfer += oprot->writeI64(this->revision);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.ageMilliseconds) {
-    xfer += oprot->writeFieldBegin("ageMilliseconds", ::apache::thrift::protocol::T_I32, 5);
-    xfer += oprot->writeI32(this->ageMilliseconds);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<BucketEntry> ::const_iterator _iter19;
+    for (_iter19 = this->entries.begin(); _iter19 != this->entries.end(); ++_iter19)
+    {
+      xfer += (*_iter19).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
   }
-  if (this->__isset.removed) {
-    xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 6);
-    xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.correction) {
+    xfer += oprot->writeFieldBegin("correction", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->correction);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -509,101 +612,95 @@
   return xfer;
 }
 
-void swap(FlowRecordCopy &a, FlowRecordCopy &b) {
+void swap(BucketNotice &a, BucketNotice &b) {
   using ::std::swap;
-  swap(a.flowLow, b.flowLow);
-  swap(a.flowHigh, b.flowHigh);
-  swap(a.upstream, b.upstream);
-  swap(a.revision, b.revision);
-  swap(a.ageMilliseconds, b.ageMilliseconds);
-  swap(a.removed, b.removed);
+  swap(a.serviceId, b.serviceId);
+  swap(a.sequence, b.sequence);
+  swap(a.upstreams, b.upstreams);
+  swap(a.entries, b.entries);
+  swap(a.correction, b.correction);
   swap(a.__isset, b.__isset);
 }
 
-FlowRecordCopy::FlowRecordCopy(const FlowRecordCopy& other8) noexcept {
-  flowLow = other8.flowLow;
-  flowHigh = other8.flowHigh;
-  upstream = other8.upstream;
-  revision = other8.revision;
-  ageMilliseconds = other8.ageMilliseconds;
-  removed = other8.removed;
-  __isset = other8.__isset;
-}
-FlowRecordCopy::FlowRecordCopy(FlowRecordCopy&& other9) noexcept {
-  flowLow = other9.flowLow;
-  flowHigh = other9.flowHigh;
-  upstream = other9.upstream;
-  revision = other9.revision;
-  ageMilliseconds = other9.ageMilliseconds;
-  removed = other9.removed;
-  __isset = other9.__isset;
-}
-FlowRecordCopy& FlowRecordCopy::operator=(const FlowRecordCopy& other10) noexcept {
-  flowLow = other10.flowLow;
-  flowHigh = other10.flowHigh;
-  upstream = other10.upstream;
-  revision = other10.revision;
-  ageMilliseconds = other10.ageMilliseconds;
-  removed = other10.removed;
-  __isset = other10.__isset;
+BucketNotice::BucketNotice(const BucketNotice& other20) {
+  serviceId = other20.serviceId;
+  sequence = other20.sequence;
+  upstreams = other20.upstreams;
+  entries = other20.entries;
+  correction = other20.correction;
+  __isset = other20.__isset;
+}
+BucketNotice::BucketNotice(BucketNotice&& other21) noexcept {
+  serviceId = other21.serviceId;
+  sequence = other21.sequence;
+  upstreams = std::move(other21.upstreams);
+  entries = std::move(other21.entries);
+  correction = other21.correction;
+  __isset = other21.__isset;
+}
+BucketNotice& BucketNotice::operator=(const BucketNotice& other22) {
+  serviceId = other22.serviceId;
+  sequence = other22.sequence;
+  upstreams = other22.upstreams;
+  entries = other22.entries;
+  correction = other22.correction;
+  __isset = other22.__isset;
   return *this;
 }
-FlowRecordCopy& FlowRecordCopy::operator=(FlowRecordCopy&& other11) noexcept {
-  flowLow = other11.flowLow;
-  flowHigh = other11.flowHigh;
-  upstream = other11.upstream;
-  revision = other11.revision;
-  ageMilliseconds = other11.ageMilliseconds;
-  removed = other11.removed;
-  __isset = other11.__isset;
+BucketNotice& BucketNotice::operator=(BucketNotice&& other23) noexcept {
+  serviceId = other23.serviceId;
+  sequence = other23.sequence;
+  upstreams = std::move(other23.upstreams);
+  entries = std::move(other23.entries);
+  correction = other23.correction;
+  __isset = other23.__isset;
   return *this;
 }
-void FlowRecordCopy::printTo(std::ostream& out) const {
+void BucketNotice::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "FlowRecordCopy(";
-  out << "flowLow=" << to_string(flowLow);
-  out << ", " << "flowHigh=" << to_string(flowHigh);
-  out << ", " << "upstream=" << to_string(upstream);
-  out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
-  out << ", " << "ageMilliseconds="; (__isset.ageMilliseconds ? (out << to_string(ageMilliseconds)) : (out << "<null>"));
-  out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
+  out << "BucketNotice(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "upstreams=" << to_string(upstreams);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "correction="; (__isset.correction ? (out << to_string(correction)) : (out << "<null>"));
   out << ")";
 }
 
 
-RecordBatch::~RecordBatch() noexcept {
+FlowRecordCopy::~FlowRecordCopy() noexcept {
 }
 
 
-void RecordBatch::__set_serviceId(const int64_t val) {
-  this->serviceId = val;
+void FlowRecordCopy::__set_flow(const int64_t val) {
+  this->flow = val;
 }
 
-void RecordBatch::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void FlowRecordCopy::__set_bucket(const int32_t val) {
+  this->bucket = val;
 }
 
-void RecordBatch::__set_records(const std::vector<FlowRecordCopy> & val) {
-  this->records = val;
+void FlowRecordCopy::__set_upstream(const int32_t val) {
+  this->upstream = val;
 }
 
-void RecordBatch::__set_handover(const bool val) {
-  this->handover = val;
-__isset.handover = true;
+void FlowRecordCopy::__set_ageMilliseconds(const int32_t val) {
+  this->ageMilliseconds = val;
+__isset.ageMilliseconds = true;
 }
 
-void RecordBatch::__set_buckets(const std::vector<int32_t> & val) {
-  this->buckets = val;
-__isset.buckets = true;
+void FlowRecordCopy::__set_removed(const bool val) {
+  this->removed = val;
+__isset.removed = true;
 }
-std::ostream& operator<<(std::ostream& out, const RecordBatch& obj)
+std::ostream& operator<<(std::ostream& out, const FlowRecordCopy& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RecordBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FlowRecordCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -615,9 +712,9 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_serviceId = false;
-  bool isset_sequence = false;
-  bool isset_records = false;
+  bool isset_flow = false;
+  bool isset_bucket = false;
+  bool isset_upstream = false;
 
   while (true)
   {
@@ -629,64 +726,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->serviceId);
-          isset_serviceId = true;
+          xfer += iprot->readI64(this->flow);
+          isset_flow = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          isset_sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bucket);
+          isset_bucket = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->records.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->records.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
-            {
-              xfer += this->records[_i16].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_records = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->upstream);
+          isset_upstream = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->handover);
-          this->__isset.handover = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMilliseconds);
+          this->__isset.ageMilliseconds = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->buckets.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->buckets.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
-            {
-              xfer += iprot->readI32(this->buckets[_i21]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.buckets = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -700,56 +773,40 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_serviceId)
+  if (!isset_flow)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_sequence)
+  if (!isset_bucket)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_records)
+  if (!isset_upstream)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t RecordBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FlowRecordCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RecordBatch");
+  xfer += oprot->writeStructBegin("FlowRecordCopy");
 
-  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldBegin("flow", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->flow);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("bucket", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->bucket);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<FlowRecordCopy> ::const_iterator _iter22;
-    for (_iter22 = this->records.begin(); _iter22 != this->records.end(); ++_iter22)
-    {
-      xfer += (*_iter22).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->upstream);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.handover) {
-    xfer += oprot->writeFieldBegin("handover", ::apache::thrift::protocol::T_BOOL, 4);
-    xfer += oprot->writeBool(this->handover);
+  if (this->__isset.ageMilliseconds) {
+    xfer += oprot->writeFieldBegin("ageMilliseconds", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->ageMilliseconds);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.buckets) {
-    xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 5);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-      std::vector<int32_t> ::const_iterator _iter23;
-      for (_iter23 = this->buckets.begin(); _iter23 != this->buckets.end(); ++_iter23)
-      {
-        xfer += oprot->writeI32((*_iter23));
-      }
-      xfer += oprot->writeListEnd();
-    }
+  if (this->__isset.removed) {
+    xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->removed);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -757,77 +814,89 @@
   return xfer;
 }
 
-void swap(RecordBatch &a, RecordBatch &b) {
+void swap(FlowRecordCopy &a, FlowRecordCopy &b) {
   using ::std::swap;
-  swap(a.serviceId, b.serviceId);
-  swap(a.sequence, b.sequence);
-  swap(a.records, b.records);
-  swap(a.handover, b.handover);
-  swap(a.buckets, b.buckets);
+  swap(a.flow, b.flow);
+  swap(a.bucket, b.bucket);
+  swap(a.upstream, b.upstream);
+  swap(a.ageMilliseconds, b.ageMilliseconds);
+  swap(a.removed, b.removed);
   swap(a.__isset, b.__isset);
 }
 
-RecordBatch::RecordBatch(const RecordBatch& other24) {
-  serviceId = other24.serviceId;
-  sequence = other24.sequence;
-  records = other24.records;
-  handover = other24.handover;
-  buckets = other24.buckets;
+FlowRecordCopy::FlowRecordCopy(const FlowRecordCopy& other24) noexcept {
+  flow = other24.flow;
+  bucket = other24.bucket;
+  upstream = other24.upstream;
+  ageMilliseconds = other24.ageMilliseconds;
+  removed = other24.removed;
   __isset = other24.__isset;
 }
-RecordBatch::RecordBatch(RecordBatch&& other25) noexcept {
-  serviceId = other25.serviceId;
-  sequence = other25.sequence;
-  records = std::move(other25.records);
-  handover = other25.handover;
-  buckets = std::move(other25.buckets);
+FlowRecordCopy::FlowRecordCopy(FlowRecordCopy&& other25) noexcept {
+  flow = other25.flow;
+  bucket = other25.bucket;
+  upstream = other25.upstream;
+  ageMilliseconds = other25.ageMilliseconds;
+  removed = other25.removed;
   __isset = other25.__isset;
 }
-RecordBatch& RecordBatch::operator=(const RecordBatch& other26) {
-  serviceId = other26.serviceId;
-  sequence = other26.sequence;
-  records = other26.records;
-  handover = other26.handover;
-  buckets = other26.buckets;
+FlowRecordCopy& FlowRecordCopy::operator=(const FlowRecordCopy& other26) noexcept {
+  flow = other26.flow;
+  bucket = other26.bucket;
+  upstream = other26.upstream;
+  ageMilliseconds = other26.ageMilliseconds;
+  removed = other26.removed;
   __isset = other26.__isset;
   return *this;
 }
-RecordBatch& RecordBatch::operator=(RecordBatch&& other27) noexcept {
-  serviceId = other27.serviceId;
-  sequence = other27.sequence;
-  records = std::move(other27.records);
-  handover = other27.handover;
-  buckets = std::move(other27.buckets);
+FlowRecordCopy& FlowRecordCopy::operator=(FlowRecordCopy&& other27) noexcept {
+  flow = other27.flow;
+  bucket = other27.bucket;
+  upstream = other27.upstream;
+  ageMilliseconds = other27.ageMilliseconds;
+  removed = other27.removed;
   __isset = other27.__isset;
   return *this;
 }
-void RecordBatch::printTo(std::ostream& out) const {
+void FlowRecordCopy::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RecordBatch(";
-  out << "serviceId=" << to_string(serviceId);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "records=" << to_string(records);
-  out << ", " << "handover="; (__isset.handover ? (out << to_string(handover)) : (out << "<null>"));
-  out << ", " << "buckets="; (__isset.buckets ? (out << to_string(buckets)) : (out << "<null>"));
+  out << "FlowRecordCopy(";
+  out << "flow=" << to_string(flow);
+  out << ", " << "bucket=" << to_string(bucket);
+  out << ", " << "upstream=" << to_string(upstream);
+  out << ", " << "ageMilliseconds="; (__isset.ageMilliseconds ? (out << to_string(ageMilliseconds)) : (out << "<null>"));
+  out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
   out << ")";
 }
 
 
-RecordAcknowledgement::~RecordAcknowledgement() noexcept {
+RecordBatch::~RecordBatch() noexcept {
 }
 
 
-void RecordAcknowledgement::__set_sequence(const int64_t val) {
+void RecordBatch::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
+}
+
+void RecordBatch::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
-std::ostream& operator<<(std::ostream& out, const RecordAcknowledgement& obj)
+
+void RecordBatch::__set_upstreams(const std::vector<UpstreamReference> & val) {
+  this->upstreams = val;
+}
+
+void RecordBatch::__set_records(const std::vector<FlowRecordCopy> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RecordAcknowledgement::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RecordBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -839,7 +908,10 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
+  bool isset_serviceId = false;
   bool isset_sequence = false;
+  bool isset_upstreams = false;
+  bool isset_records = false;
 
   while (true)
   {
@@ -850,6 +922,14 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          isset_serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->sequence);
           isset_sequence = true;
@@ -857,6 +937,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->upstreams.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += this->upstreams[_i32].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->records.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += this->records[_i37].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -866,73 +986,123 @@
 
   xfer += iprot->readStructEnd();
 
+  if (!isset_serviceId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_sequence)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_records)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t RecordAcknowledgement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RecordBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RecordAcknowledgement");
+  xfer += oprot->writeStructBegin("RecordBatch");
+
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<UpstreamReference> ::const_iterator _iter38;
+    for (_iter38 = this->upstreams.begin(); _iter38 != this->upstreams.end(); ++_iter38)
+    {
+      xfer += (*_iter38).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<FlowRecordCopy> ::const_iterator _iter39;
+    for (_iter39 = this->records.begin(); _iter39 != this->records.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(RecordAcknowledgement &a, RecordAcknowledgement &b) {
+void swap(RecordBatch &a, RecordBatch &b) {
   using ::std::swap;
+  swap(a.serviceId, b.serviceId);
   swap(a.sequence, b.sequence);
+  swap(a.upstreams, b.upstreams);
+  swap(a.records, b.records);
 }
 
-RecordAcknowledgement::RecordAcknowledgement(const RecordAcknowledgement& other28) noexcept {
-  sequence = other28.sequence;
+RecordBatch::RecordBatch(const RecordBatch& other40) {
+  serviceId = other40.serviceId;
+  sequence = other40.sequence;
+  upstreams = other40.upstreams;
+  records = other40.records;
 }
-RecordAcknowledgement::RecordAcknowledgement(RecordAcknowledgement&& other29) noexcept {
-  sequence = other29.sequence;
+RecordBatch::RecordBatch(RecordBatch&& other41) noexcept {
+  serviceId = other41.serviceId;
+  sequence = other41.sequence;
+  upstreams = std::move(other41.upstreams);
+  records = std::move(other41.records);
 }
-RecordAcknowledgement& RecordAcknowledgement::operator=(const RecordAcknowledgement& other30) noexcept {
-  sequence = other30.sequence;
+RecordBatch& RecordBatch::operator=(const RecordBatch& other42) {
+  serviceId = other42.serviceId;
+  sequence = other42.sequence;
+  upstreams = other42.upstreams;
+  records = other42.records;
   return *this;
 }
-RecordAcknowledgement& RecordAcknowledgement::operator=(RecordAcknowledgement&& other31) noexcept {
-  sequence = other31.sequence;
+RecordBatch& RecordBatch::operator=(RecordBatch&& other43) noexcept {
+  serviceId = other43.serviceId;
+  sequence = other43.sequence;
+  upstreams = std::move(other43.upstreams);
+  records = std::move(other43.records);
   return *this;
 }
-void RecordAcknowledgement::printTo(std::ostream& out) const {
+void RecordBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RecordAcknowledgement(";
-  out << "sequence=" << to_string(sequence);
+  out << "RecordBatch(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "upstreams=" << to_string(upstreams);
+  out << ", " << "records=" << to_string(records);
   out << ")";
 }
 
 
-BucketStateRequest::~BucketStateRequest() noexcept {
+GroupClaim::~GroupClaim() noexcept {
 }
 
 
-void BucketStateRequest::__set_serviceId(const int64_t val) {
+void GroupClaim::__set_serviceId(const int64_t val) {
   this->serviceId = val;
-__isset.serviceId = true;
 }
 
-void BucketStateRequest::__set_firstBucket(const int32_t val) {
-  this->firstBucket = val;
-__isset.firstBucket = true;
+void GroupClaim::__set_groups(const std::vector<int32_t> & val) {
+  this->groups = val;
 }
-std::ostream& operator<<(std::ostream& out, const BucketStateRequest& obj)
+std::ostream& operator<<(std::ostream& out, const GroupClaim& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t BucketStateRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -944,6 +1114,8 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
+  bool isset_serviceId = false;
+  bool isset_groups = false;
 
   while (true)
   {
@@ -956,15 +1128,27 @@
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->serviceId);
-          this->__isset.serviceId = true;
+          isset_serviceId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->firstBucket);
-          this->__isset.firstBucket = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->groups.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += iprot->readI32(this->groups[_i48]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_groups = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -978,100 +1162,107 @@
 
   xfer += iprot->readStructEnd();
 
+  if (!isset_serviceId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_groups)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t BucketStateRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BucketStateRequest");
+  xfer += oprot->writeStructBegin("GroupClaim");
 
-  if (this->__isset.serviceId) {
-    xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
-    xfer += oprot->writeI64(this->serviceId);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.firstBucket) {
-    xfer += oprot->writeFieldBegin("firstBucket", ::apache::thrift::protocol::T_I32, 2);
-    xfer += oprot->writeI32(this->firstBucket);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->groups.size()));
+    std::vector<int32_t> ::const_iterator _iter49;
+    for (_iter49 = this->groups.begin(); _iter49 != this->groups.end(); ++_iter49)
+    {
+      xfer += oprot->writeI32((*_iter49));
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(BucketStateRequest &a, BucketStateRequest &b) {
+void swap(GroupClaim &a, GroupClaim &b) {
   using ::std::swap;
   swap(a.serviceId, b.serviceId);
-  swap(a.firstBucket, b.firstBucket);
-  swap(a.__isset, b.__isset);
+  swap(a.groups, b.groups);
 }
 
-BucketStateRequest::BucketStateRequest(const BucketStateRequest& other32) noexcept {
-  serviceId = other32.serviceId;
-  firstBucket = other32.firstBucket;
-  __isset = other32.__isset;
+GroupClaim::GroupClaim(const GroupClaim& other50) {
+  serviceId = other50.serviceId;
+  groups = other50.groups;
 }
-BucketStateRequest::BucketStateRequest(BucketStateRequest&& other33) noexcept {
-  serviceId = other33.serviceId;
-  firstBucket = other33.firstBucket;
-  __isset = other33.__isset;
+GroupClaim::GroupClaim(GroupClaim&& other51) noexcept {
+  serviceId = other51.serviceId;
+  groups = std::move(other51.groups);
 }
-BucketStateRequest& BucketStateRequest::operator=(const BucketStateRequest& other34) noexcept {
-  serviceId = other34.serviceId;
-  firstBucket = other34.firstBucket;
-  __isset = other34.__isset;
+GroupClaim& GroupClaim::operator=(const GroupClaim& other52) {
+  serviceId = other52.serviceId;
+  groups = other52.groups;
   return *this;
 }
-BucketStateRequest& BucketStateRequest::operator=(BucketStateRequest&& other35) noexcept {
-  serviceId = other35.serviceId;
-  firstBucket = other35.firstBucket;
-  __isset = other35.__isset;
+GroupClaim& GroupClaim::operator=(GroupClaim&& other53) noexcept {
+  serviceId = other53.serviceId;
+  groups = std::move(other53.groups);
   return *this;
 }
-void BucketStateRequest::printTo(std::ostream& out) const {
+void GroupClaim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "BucketStateRequest(";
-  out << "serviceId="; (__isset.serviceId ? (out << to_string(serviceId)) : (out << "<null>"));
-  out << ", " << "firstBucket="; (__isset.firstBucket ? (out << to_string(firstBucket)) : (out << "<null>"));
+  out << "GroupClaim(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "groups=" << to_string(groups);
   out << ")";
 }
 
 
-BucketStateReply::~BucketStateReply() noexcept {
+GroupClaimReply::~GroupClaimReply() noexcept {
 }
 
 
-void BucketStateReply::__set_serviceId(const int64_t val) {
+void GroupClaimReply::__set_serviceId(const int64_t val) {
   this->serviceId = val;
 }
 
-void BucketStateReply::__set_revision(const int64_t val) {
-  this->revision = val;
+void GroupClaimReply::__set_groups(const std::vector<int32_t> & val) {
+  this->groups = val;
 }
 
-void BucketStateReply::__set_tracked(const std::string& val) {
-  this->tracked = val;
+void GroupClaimReply::__set_activeGroups(const std::vector<int32_t> & val) {
+  this->activeGroups = val;
+}
+
+void GroupClaimReply::__set_backupGroups(const std::vector<int32_t> & val) {
+  this->backupGroups = val;
 }
 
-void BucketStateReply::__set_baselines(const std::map<int32_t, int64_t> & val) {
-  this->baselines = val;
-__isset.baselines = true;
+void GroupClaimReply::__set_upstreams(const std::vector<UpstreamReference> & val) {
+  this->upstreams = val;
 }
 
-void BucketStateReply::__set_last(const bool val) {
-  this->last = val;
-__isset.last = true;
+void GroupClaimReply::__set_entries(const std::vector<BucketEntry> & val) {
+  this->entries = val;
 }
-std::ostream& operator<<(std::ostream& out, const BucketStateReply& obj)
+std::ostream& operator<<(std::ostream& out, const GroupClaimReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t BucketStateReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupClaimReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1084,8 +1275,11 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_serviceId = false;
-  bool isset_revision = false;
-  bool isset_tracked = false;
+  bool isset_groups = false;
+  bool isset_activeGroups = false;
+  bool isset_backupGroups = false;
+  bool isset_upstreams = false;
+  bool isset_entries = false;
 
   while (true)
   {
@@ -1104,48 +1298,101 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          isset_revision = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->groups.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              xfer += iprot->readI32(this->groups[_i58]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_groups = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->tracked);
-          isset_tracked = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->activeGroups.clear();
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->activeGroups.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
+            {
+              xfer += iprot->readI32(this->activeGroups[_i63]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_activeGroups = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->baselines.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _ktype37;
-            ::apache::thrift::protocol::TType _vtype38;
-            xfer += iprot->readMapBegin(_ktype37, _vtype38, _size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            this->backupGroups.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->backupGroups.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              int32_t _key41;
-              xfer += iprot->readI32(_key41);
-              int64_t& _val42 = this->baselines[_key41];
-              xfer += iprot->readI64(_val42);
+              xfer += iprot->readI32(this->backupGroups[_i68]);
             }
-            xfer += iprot->readMapEnd();
+            xfer += iprot->readListEnd();
           }
-          this->__isset.baselines = true;
+          isset_backupGroups = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->last);
-          this->__isset.last = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->upstreams.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->upstreams[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->entries.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += this->entries[_i78].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1161,151 +1408,177 @@
 
   if (!isset_serviceId)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_revision)
+  if (!isset_groups)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_activeGroups)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_backupGroups)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_tracked)
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_entries)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t BucketStateReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupClaimReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BucketStateReply");
+  xfer += oprot->writeStructBegin("GroupClaimReply");
 
   xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->serviceId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->groups.size()));
+    std::vector<int32_t> ::const_iterator _iter79;
+    for (_iter79 = this->groups.begin(); _iter79 != this->groups.end(); ++_iter79)
+    {
+      xfer += oprot->writeI32((*_iter79));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("activeGroups", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->activeGroups.size()));
+    std::vector<int32_t> ::const_iterator _iter80;
+    for (_iter80 = this->activeGroups.begin(); _iter80 != this->activeGroups.end(); ++_iter80)
+    {
+      xfer += oprot->writeI32((*_iter80));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tracked", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->tracked);
+  xfer += oprot->writeFieldBegin("backupGroups", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backupGroups.size()));
+    std::vector<int32_t> ::const_iterator _iter81;
+    for (_iter81 = this->backupGroups.begin(); _iter81 != this->backupGroups.end(); ++_iter81)
+    {
+      xfer += oprot->writeI32((*_iter81));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.baselines) {
-    xfer += oprot->writeFieldBegin("baselines", ::apache::thrift::protocol::T_MAP, 4);
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<UpstreamReference> ::const_iterator _iter82;
+    for (_iter82 = this->upstreams.begin(); _iter82 != this->upstreams.end(); ++_iter82)
     {
-      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->baselines.size()));
-      std::map<int32_t, int64_t> ::const_iterator _iter43;
-      for (_iter43 = this->baselines.begin(); _iter43 != this->baselines.end(); ++_iter43)
-      {
-        xfer += oprot->writeI32(_iter43->first);
-        xfer += oprot->writeI64(_iter43->second);
-      }
-      xfer += oprot->writeMapEnd();
+      xfer += (*_iter82).write(oprot);
     }
-    xfer += oprot->writeFieldEnd();
+    xfer += oprot->writeListEnd();
   }
-  if (this->__isset.last) {
-    xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 5);
-    xfer += oprot->writeBool(this->last);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<BucketEntry> ::const_iterator _iter83;
+    for (_iter83 = this->entries.begin(); _iter83 != this->entries.end(); ++_iter83)
+    {
+      xfer += (*_iter83).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(BucketStateReply &a, BucketStateReply &b) {
+void swap(GroupClaimReply &a, GroupClaimReply &b) {
   using ::std::swap;
   swap(a.serviceId, b.serviceId);
-  swap(a.revision, b.revision);
-  swap(a.tracked, b.tracked);
-  swap(a.baselines, b.baselines);
-  swap(a.last, b.last);
-  swap(a.__isset, b.__isset);
-}
-
-BucketStateReply::BucketStateReply(const BucketStateReply& other44) {
-  serviceId = other44.serviceId;
-  revision = other44.revision;
-  tracked = other44.tracked;
-  baselines = other44.baselines;
-  last = other44.last;
-  __isset = other44.__isset;
-}
-BucketStateReply::BucketStateReply(BucketStateReply&& other45) noexcept {
-  serviceId = other45.serviceId;
-  revision = other45.revision;
-  tracked = std::move(other45.tracked);
-  baselines = std::move(other45.baselines);
-  last = other45.last;
-  __isset = other45.__isset;
-}
-BucketStateReply& BucketStateReply::operator=(const BucketStateReply& other46) {
-  serviceId = other46.serviceId;
-  revision = other46.revision;
-  tracked = other46.tracked;
-  baselines = other46.baselines;
-  last = other46.last;
-  __isset = other46.__isset;
+  swap(a.groups, b.groups);
+  swap(a.activeGroups, b.activeGroups);
+  swap(a.backupGroups, b.backupGroups);
+  swap(a.upstreams, b.upstreams);
+  swap(a.entries, b.entries);
+}
+
+GroupClaimReply::GroupClaimReply(const GroupClaimReply& other84) {
+  serviceId = other84.serviceId;
+  groups = other84.groups;
+  activeGroups = other84.activeGroups;
+  backupGroups = other84.backupGroups;
+  upstreams = other84.upstreams;
+  entries = other84.entries;
+}
+GroupClaimReply::GroupClaimReply(GroupClaimReply&& other85) noexcept {
+  serviceId = other85.serviceId;
+  groups = std::move(other85.groups);
+  activeGroups = std::move(other85.activeGroups);
+  backupGroups = std::move(other85.backupGroups);
+  upstreams = std::move(other85.upstreams);
+  entries = std::move(other85.entries);
+}
+GroupClaimReply& GroupClaimReply::operator=(const GroupClaimReply& other86) {
+  serviceId = other86.serviceId;
+  groups = other86.groups;
+  activeGroups = other86.activeGroups;
+  backupGroups = other86.backupGroups;
+  upstreams = other86.upstreams;
+  entries = other86.entries;
   return *this;
 }
-BucketStateReply& BucketStateReply::operator=(BucketStateReply&& other47) noexcept {
-  serviceId = other47.serviceId;
-  revision = other47.revision;
-  tracked = std::move(other47.tracked);
-  baselines = std::move(other47.baselines);
-  last = other47.last;
-  __isset = other47.__isset;
+GroupClaimReply& GroupClaimReply::operator=(GroupClaimReply&& other87) noexcept {
+  serviceId = other87.serviceId;
+  groups = std::move(other87.groups);
+  activeGroups = std::move(other87.activeGroups);
+  backupGroups = std::move(other87.backupGroups);
+  upstreams = std::move(other87.upstreams);
+  entries = std::move(other87.entries);
   return *this;
 }
-void BucketStateReply::printTo(std::ostream& out) const {
+void GroupClaimReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "BucketStateReply(";
+  out << "GroupClaimReply(";
   out << "serviceId=" << to_string(serviceId);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "tracked=" << to_string(tracked);
-  out << ", " << "baselines="; (__isset.baselines ? (out << to_string(baselines)) : (out << "<null>"));
-  out << ", " << "last="; (__isset.last ? (out << to_string(last)) : (out << "<null>"));
+  out << ", " << "groups=" << to_string(groups);
+  out << ", " << "activeGroups=" << to_string(activeGroups);
+  out << ", " << "backupGroups=" << to_string(backupGroups);
+  out << ", " << "upstreams=" << to_string(upstreams);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
 
-PlacementMessage::~PlacementMessage() noexcept {
-}
-
-
-void PlacementMessage::__set_trackNotice(const TrackNotice& val) {
-  this->trackNotice = val;
-__isset.trackNotice = true;
+GroupOrder::~GroupOrder() noexcept {
 }
 
-void PlacementMessage::__set_trackAcknowledgement(const TrackAcknowledgement& val) {
-  this->trackAcknowledgement = val;
-__isset.trackAcknowledgement = true;
-}
 
-void PlacementMessage::__set_recordBatch(const RecordBatch& val) {
-  this->recordBatch = val;
-__isset.recordBatch = true;
+void GroupOrder::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
 }
 
-void PlacementMessage::__set_recordAcknowledgement(const RecordAcknowledgement& val) {
-  this->recordAcknowledgement = val;
-__isset.recordAcknowledgement = true;
+void GroupOrder::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void PlacementMessage::__set_bucketStateRequest(const BucketStateRequest& val) {
-  this->bucketStateRequest = val;
-__isset.bucketStateRequest = true;
+void GroupOrder::__set_kind(const GroupOrderKind::type val) {
+  this->kind = val;
 }
 
-void PlacementMessage::__set_bucketStateReply(const BucketStateReply& val) {
-  this->bucketStateReply = val;
-__isset.bucketStateReply = true;
+void GroupOrder::__set_groups(const std::vector<int32_t> & val) {
+  this->groups = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlacementMessage& obj)
+std::ostream& operator<<(std::ostream& out, const GroupOrder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlacementMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1317,6 +1590,10 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
+  bool isset_serviceId = false;
+  bool isset_sequence = false;
+  bool isset_kind = false;
+  bool isset_groups = false;
 
   while (true)
   {
@@ -1327,49 +1604,47 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->trackNotice.read(iprot);
-          this->__isset.trackNotice = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          isset_serviceId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->trackAcknowledgement.read(iprot);
-          this->__isset.trackAcknowledgement = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordBatch.read(iprot);
-          this->__isset.recordBatch = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast88;
+          xfer += iprot->readI32(ecast88);
+          this->kind = static_cast<GroupOrderKind::type>(ecast88);
+          isset_kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->recordAcknowledgement.read(iprot);
-          this->__isset.recordAcknowledgement = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->bucketStateRequest.read(iprot);
-          this->__isset.bucketStateRequest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->bucketStateReply.read(iprot);
-          this->__isset.bucketStateReply = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->groups.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
+            {
+              xfer += iprot->readI32(this->groups[_i93]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_groups = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1383,42 +1658,490 @@
 
   xfer += iprot->readStructEnd();
 
+  if (!isset_serviceId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_groups)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t PlacementMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlacementMessage");
+  xfer += oprot->writeStructBegin("GroupOrder");
 
-  if (this->__isset.trackNotice) {
-    xfer += oprot->writeFieldBegin("trackNotice", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->trackNotice.write(oprot);
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->groups.size()));
+    std::vector<int32_t> ::const_iterator _iter94;
+    for (_iter94 = this->groups.begin(); _iter94 != this->groups.end(); ++_iter94)
+    {
+      xfer += oprot->writeI32((*_iter94));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GroupOrder &a, GroupOrder &b) {
+  using ::std::swap;
+  swap(a.serviceId, b.serviceId);
+  swap(a.sequence, b.sequence);
+  swap(a.kind, b.kind);
+  swap(a.groups, b.groups);
+}
+
+GroupOrder::GroupOrder(const GroupOrder& other95) {
+  serviceId = other95.serviceId;
+  sequence = other95.sequence;
+  kind = other95.kind;
+  groups = other95.groups;
+}
+GroupOrder::GroupOrder(GroupOrder&& other96) noexcept {
+  serviceId = other96.serviceId;
+  sequence = other96.sequence;
+  kind = other96.kind;
+  groups = std::move(other96.groups);
+}
+GroupOrder& GroupOrder::operator=(const GroupOrder& other97) {
+  serviceId = other97.serviceId;
+  sequence = other97.sequence;
+  kind = other97.kind;
+  groups = other97.groups;
+  return *this;
+}
+GroupOrder& GroupOrder::operator=(GroupOrder&& other98) noexcept {
+  serviceId = other98.serviceId;
+  sequence = other98.sequence;
+  kind = other98.kind;
+  groups = std::move(other98.groups);
+  return *this;
+}
+void GroupOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GroupOrder(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "groups=" << to_string(groups);
+  out << ")";
+}
+
+
+PlacementAcknowledgement::~PlacementAcknowledgement() noexcept {
+}
+
+
+void PlacementAcknowledgement::__set_sequences(const std::vector<int64_t> & val) {
+  this->sequences = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlacementAcknowledgement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlacementAcknowledgement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sequences = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->sequences.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->sequences.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += iprot->readI64(this->sequences[_i103]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_sequences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sequences)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PlacementAcknowledgement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlacementAcknowledgement");
+
+  xfer += oprot->writeFieldBegin("sequences", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->sequences.size()));
+    std::vector<int64_t> ::const_iterator _iter104;
+    for (_iter104 = this->sequences.begin(); _iter104 != this->sequences.end(); ++_iter104)
+    {
+      xfer += oprot->writeI64((*_iter104));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlacementAcknowledgement &a, PlacementAcknowledgement &b) {
+  using ::std::swap;
+  swap(a.sequences, b.sequences);
+}
+
+PlacementAcknowledgement::PlacementAcknowledgement(const PlacementAcknowledgement& other105) {
+  sequences = other105.sequences;
+}
+PlacementAcknowledgement::PlacementAcknowledgement(PlacementAcknowledgement&& other106) noexcept {
+  sequences = std::move(other106.sequences);
+}
+PlacementAcknowledgement& PlacementAcknowledgement::operator=(const PlacementAcknowledgement& other107) {
+  sequences = other107.sequences;
+  return *this;
+}
+PlacementAcknowledgement& PlacementAcknowledgement::operator=(PlacementAcknowledgement&& other108) noexcept {
+  sequences = std::move(other108.sequences);
+  return *this;
+}
+void PlacementAcknowledgement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlacementAcknowledgement(";
+  out << "sequences=" << to_string(sequences);
+  out << ")";
+}
+
+
+BucketStateRequest::~BucketStateRequest() noexcept {
+}
+
+
+void BucketStateRequest::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
+__isset.serviceId = true;
+}
+std::ostream& operator<<(std::ostream& out, const BucketStateRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BucketStateRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          this->__isset.serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BucketStateRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BucketStateRequest");
+
+  if (this->__isset.serviceId) {
+    xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->serviceId);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.trackAcknowledgement) {
-    xfer += oprot->writeFieldBegin("trackAcknowledgement", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->trackAcknowledgement.write(oprot);
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BucketStateRequest &a, BucketStateRequest &b) {
+  using ::std::swap;
+  swap(a.serviceId, b.serviceId);
+  swap(a.__isset, b.__isset);
+}
+
+BucketStateRequest::BucketStateRequest(const BucketStateRequest& other109) noexcept {
+  serviceId = other109.serviceId;
+  __isset = other109.__isset;
+}
+BucketStateRequest::BucketStateRequest(BucketStateRequest&& other110) noexcept {
+  serviceId = other110.serviceId;
+  __isset = other110.__isset;
+}
+BucketStateRequest& BucketStateRequest::operator=(const BucketStateRequest& other111) noexcept {
+  serviceId = other111.serviceId;
+  __isset = other111.__isset;
+  return *this;
+}
+BucketStateRequest& BucketStateRequest::operator=(BucketStateRequest&& other112) noexcept {
+  serviceId = other112.serviceId;
+  __isset = other112.__isset;
+  return *this;
+}
+void BucketStateRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BucketStateRequest(";
+  out << "serviceId="; (__isset.serviceId ? (out << to_string(serviceId)) : (out << "<null>"));
+  out << ")";
+}
+
+
+PlacementMessage::~PlacementMessage() noexcept {
+}
+
+
+void PlacementMessage::__set_bucketNotice(const BucketNotice& val) {
+  this->bucketNotice = val;
+__isset.bucketNotice = true;
+}
+
+void PlacementMessage::__set_recordBatch(const RecordBatch& val) {
+  this->recordBatch = val;
+__isset.recordBatch = true;
+}
+
+void PlacementMessage::__set_groupClaim(const GroupClaim& val) {
+  this->groupClaim = val;
+__isset.groupClaim = true;
+}
+
+void PlacementMessage::__set_groupClaimReply(const GroupClaimReply& val) {
+  this->groupClaimReply = val;
+__isset.groupClaimReply = true;
+}
+
+void PlacementMessage::__set_groupOrder(const GroupOrder& val) {
+  this->groupOrder = val;
+__isset.groupOrder = true;
+}
+
+void PlacementMessage::__set_acknowledgement(const PlacementAcknowledgement& val) {
+  this->acknowledgement = val;
+__isset.acknowledgement = true;
+}
+
+void PlacementMessage::__set_bucketStateRequest(const BucketStateRequest& val) {
+  this->bucketStateRequest = val;
+__isset.bucketStateRequest = true;
+}
+std::ostream& operator<<(std::ostream& out, const PlacementMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlacementMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->bucketNotice.read(iprot);
+          this->__isset.bucketNotice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordBatch.read(iprot);
+          this->__isset.recordBatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupClaim.read(iprot);
+          this->__isset.groupClaim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupClaimReply.read(iprot);
+          this->__isset.groupClaimReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->groupOrder.read(iprot);
+          this->__isset.groupOrder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->acknowledgement.read(iprot);
+          this->__isset.acknowledgement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->bucketStateRequest.read(iprot);
+          this->__isset.bucketStateRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlacementMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlacementMessage");
+
+  if (this->__isset.bucketNotice) {
+    xfer += oprot->writeFieldBegin("bucketNotice", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->bucketNotice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.recordBatch) {
-    xfer += oprot->writeFieldBegin("recordBatch", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += oprot->writeFieldBegin("recordBatch", ::apache::thrift::protocol::T_STRUCT, 2);
     xfer += this->recordBatch.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.recordAcknowledgement) {
-    xfer += oprot->writeFieldBegin("recordAcknowledgement", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->recordAcknowledgement.write(oprot);
+  if (this->__isset.groupClaim) {
+    xfer += oprot->writeFieldBegin("groupClaim", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->groupClaim.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.bucketStateRequest) {
-    xfer += oprot->writeFieldBegin("bucketStateRequest", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->bucketStateRequest.write(oprot);
+  if (this->__isset.groupClaimReply) {
+    xfer += oprot->writeFieldBegin("groupClaimReply", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->groupClaimReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.groupOrder) {
+    xfer += oprot->writeFieldBegin("groupOrder", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->groupOrder.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.acknowledgement) {
+    xfer += oprot->writeFieldBegin("acknowledgement", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->acknowledgement.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.bucketStateReply) {
-    xfer += oprot->writeFieldBegin("bucketStateReply", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->bucketStateReply.write(oprot);
+  if (this->__isset.bucketStateRequest) {
+    xfer += oprot->writeFieldBegin("bucketStateRequest", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->bucketStateRequest.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1428,62 +2151,68 @@
 
 void swap(PlacementMessage &a, PlacementMessage &b) {
   using ::std::swap;
-  swap(a.trackNotice, b.trackNotice);
-  swap(a.trackAcknowledgement, b.trackAcknowledgement);
+  swap(a.bucketNotice, b.bucketNotice);
   swap(a.recordBatch, b.recordBatch);
-  swap(a.recordAcknowledgement, b.recordAcknowledgement);
+  swap(a.groupClaim, b.groupClaim);
+  swap(a.groupClaimReply, b.groupClaimReply);
+  swap(a.groupOrder, b.groupOrder);
+  swap(a.acknowledgement, b.acknowledgement);
   swap(a.bucketStateRequest, b.bucketStateRequest);
-  swap(a.bucketStateReply, b.bucketStateReply);
   swap(a.__isset, b.__isset);
 }
 
-PlacementMessage::PlacementMessage(const PlacementMessage& other48) {
-  trackNotice = other48.trackNotice;
-  trackAcknowledgement = other48.trackAcknowledgement;
-  recordBatch = other48.recordBatch;
-  recordAcknowledgement = other48.recordAcknowledgement;
-  bucketStateRequest = other48.bucketStateRequest;
-  bucketStateReply = other48.bucketStateReply;
-  __isset = other48.__isset;
-}
-PlacementMessage::PlacementMessage(PlacementMessage&& other49) noexcept {
-  trackNotice = std::move(other49.trackNotice);
-  trackAcknowledgement = std::move(other49.trackAcknowledgement);
-  recordBatch = std::move(other49.recordBatch);
-  recordAcknowledgement = std::move(other49.recordAcknowledgement);
-  bucketStateRequest = std::move(other49.bucketStateRequest);
-  bucketStateReply = std::move(other49.bucketStateReply);
-  __isset = other49.__isset;
-}
-PlacementMessage& PlacementMessage::operator=(const PlacementMessage& other50) {
-  trackNotice = other50.trackNotice;
-  trackAcknowledgement = other50.trackAcknowledgement;
-  recordBatch = other50.recordBatch;
-  recordAcknowledgement = other50.recordAcknowledgement;
-  bucketStateRequest = other50.bucketStateRequest;
-  bucketStateReply = other50.bucketStateReply;
-  __isset = other50.__isset;
+PlacementMessage::PlacementMessage(const PlacementMessage& other113) {
+  bucketNotice = other113.bucketNotice;
+  recordBatch = other113.recordBatch;
+  groupClaim = other113.groupClaim;
+  groupClaimReply = other113.groupClaimReply;
+  groupOrder = other113.groupOrder;
+  acknowledgement = other113.acknowledgement;
+  bucketStateRequest = other113.bucketStateRequest;
+  __isset = other113.__isset;
+}
+PlacementMessage::PlacementMessage(PlacementMessage&& other114) noexcept {
+  bucketNotice = std::move(other114.bucketNotice);
+  recordBatch = std::move(other114.recordBatch);
+  groupClaim = std::move(other114.groupClaim);
+  groupClaimReply = std::move(other114.groupClaimReply);
+  groupOrder = std::move(other114.groupOrder);
+  acknowledgement = std::move(other114.acknowledgement);
+  bucketStateRequest = std::move(other114.bucketStateRequest);
+  __isset = other114.__isset;
+}
+PlacementMessage& PlacementMessage::operator=(const PlacementMessage& other115) {
+  bucketNotice = other115.bucketNotice;
+  recordBatch = other115.recordBatch;
+  groupClaim = other115.groupClaim;
+  groupClaimReply = other115.groupClaimReply;
+  groupOrder = other115.groupOrder;
+  acknowledgement = other115.acknowledgement;
+  bucketStateRequest = other115.bucketStateRequest;
+  __isset = other115.__isset;
   return *this;
 }
-PlacementMessage& PlacementMessage::operator=(PlacementMessage&& other51) noexcept {
-  trackNotice = std::move(other51.trackNotice);
-  trackAcknowledgement = std::move(other51.trackAcknowledgement);
-  recordBatch = std::move(other51.recordBatch);
-  recordAcknowledgement = std::move(other51.recordAcknowledgement);
-  bucketStateRequest = std::move(other51.bucketStateRequest);
-  bucketStateReply = std::move(other51.bucketStateReply);
-  __isset = other51.__isset;
+PlacementMessage& PlacementMessage::operator=(PlacementMessage&& other116) noexcept {
+  bucketNotice = std::move(other116.bucketNotice);
+  recordBatch = std::move(other116.recordBatch);
+  groupClaim = std::move(other116.groupClaim);
+  groupClaimReply = std::move(other116.groupClaimReply);
+  groupOrder = std::move(other116.groupOrder);
+  acknowledgement = std::move(other116.acknowledgement);
+  bucketStateRequest = std::move(other116.bucketStateRequest);
+  __isset = other116.__isset;
   return *this;
 }
 void PlacementMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "PlacementMessage(";
-  out << "trackNotice="; (__isset.trackNotice ? (out << to_string(trackNotice)) : (out << "<null>"));
-  out << ", " << "trackAcknowledgement="; (__isset.trackAcknowledgement ? (out << to_string(trackAcknowledgement)) : (out << "<null>"));
+  out << "bucketNotice="; (__isset.bucketNotice ? (out << to_string(bucketNotice)) : (out << "<null>"));
   out << ", " << "recordBatch="; (__isset.recordBatch ? (out << to_string(recordBatch)) : (out << "<null>"));
-  out << ", " << "recordAcknowledgement="; (__isset.recordAcknowledgement ? (out << to_string(recordAcknowledgement)) : (out << "<null>"));
+  out << ", " << "groupClaim="; (__isset.groupClaim ? (out << to_string(groupClaim)) : (out << "<null>"));
+  out << ", " << "groupClaimReply="; (__isset.groupClaimReply ? (out << to_string(groupClaimReply)) : (out << "<null>"));
+  out << ", " << "groupOrder="; (__isset.groupOrder ? (out << to_string(groupOrder)) : (out << "<null>"));
+  out << ", " << "acknowledgement="; (__isset.acknowledgement ? (out << to_string(acknowledgement)) : (out << "<null>"));
   out << ", " << "bucketStateRequest="; (__isset.bucketStateRequest ? (out << to_string(bucketStateRequest)) : (out << "<null>"));
-  out << ", " << "bucketStateReply="; (__isset.bucketStateReply ? (out << to_string(bucketStateReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/placement_types.h
+++ b/Libraries/LibMessages/gen/placement_types.h
@@ -21,76 +21,177 @@
 
 namespace Chicorytally { namespace Messages {
 
-class TrackNotice;
+struct GroupOrderKind {
+  enum type {
+    BackupSynchronised = 1,
+    BackupReleased = 2,
+    Activate = 3,
+    Grant = 4
+  };
+};
+
+extern const std::map<int, const char*> _GroupOrderKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const GroupOrderKind::type& val);
+
+std::string to_string(const GroupOrderKind::type& val);
+
+class UpstreamReference;
+
+class BucketEntry;
 
-class TrackAcknowledgement;
+class BucketNotice;
 
 class FlowRecordCopy;
 
 class RecordBatch;
 
-class RecordAcknowledgement;
+class GroupClaim;
 
-class BucketStateRequest;
+class GroupClaimReply;
+
+class GroupOrder;
+
+class PlacementAcknowledgement;
 
-class BucketStateReply;
+class BucketStateRequest;
 
 class PlacementMessage;
 
-typedef struct _TrackNotice__isset {
-  _TrackNotice__isset() : epoch(false) {}
-  bool epoch :1;
-} _TrackNotice__isset;
+typedef struct _UpstreamReference__isset {
+  _UpstreamReference__isset() : address(false), port(false), zoneId(false) {}
+  bool address :1;
+  bool port :1;
+  bool zoneId :1;
+} _UpstreamReference__isset;
 
-class TrackNotice : public virtual ::apache::thrift::TBase {
+class UpstreamReference : public virtual ::apache::thrift::TBase {
  public:
 
-  TrackNotice(const TrackNotice&);
-  TrackNotice(TrackNotice&&) noexcept;
-  TrackNotice& operator=(const TrackNotice&);
-  TrackNotice& operator=(TrackNotice&&) noexcept;
-  TrackNotice() noexcept
-              : serviceId(0),
-                revision(0),
-                tracked(),
-                epoch(0) {
+  UpstreamReference(const UpstreamReference&);
+  UpstreamReference(UpstreamReference&&) noexcept;
+  UpstreamReference& operator=(const UpstreamReference&);
+  UpstreamReference& operator=(UpstreamReference&&) noexcept;
+  UpstreamReference() noexcept
+                    : id(0),
+                      address(),
+                      port(0),
+                      zoneId(0) {
   }
 
-  virtual ~TrackNotice() noexcept;
-  int64_t serviceId;
-  int64_t revision;
-  std::string tracked;
-  int64_t epoch;
+  virtual ~UpstreamReference() noexcept;
+  int64_t id;
+  std::string address;
+  int32_t port;
+  int64_t zoneId;
 
-  _TrackNotice__isset __isset;
+  _UpstreamReference__isset __isset;
 
-  void __set_serviceId(const int64_t val);
+  void __set_id(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_zoneId(const int64_t val);
+
+  bool operator == (const UpstreamReference & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (__isset.address != rhs.__isset.address)
+      return false;
+    else if (__isset.address && !(address == rhs.address))
+      return false;
+    if (__isset.port != rhs.__isset.port)
+      return false;
+    else if (__isset.port && !(port == rhs.port))
+      return false;
+    if (__isset.zoneId != rhs.__isset.zoneId)
+      return false;
+    else if (__isset.zoneId && !(zoneId == rhs.zoneId))
+      return false;
+    return true;
+  }
+  bool operator != (const UpstreamReference &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UpstreamReference & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UpstreamReference &a, UpstreamReference &b);
+
+std::ostream& operator<<(std::ostream& out, const UpstreamReference& obj);
+
+typedef struct _BucketEntry__isset {
+  _BucketEntry__isset() : tracked(false), baselineClosed(false) {}
+  bool tracked :1;
+  bool baselineClosed :1;
+} _BucketEntry__isset;
+
+class BucketEntry : public virtual ::apache::thrift::TBase {
+ public:
 
-  void __set_revision(const int64_t val);
+  BucketEntry(const BucketEntry&) noexcept;
+  BucketEntry(BucketEntry&&) noexcept;
+  BucketEntry& operator=(const BucketEntry&) noexcept;
+  BucketEntry& operator=(BucketEntry&&) noexcept;
+  BucketEntry() noexcept
+              : bucket(0),
+                epoch(0),
+                baseline(0),
+                tracked(0),
+                baselineClosed(0) {
+  }
+
+  virtual ~BucketEntry() noexcept;
+  int32_t bucket;
+  int64_t epoch;
+  int32_t baseline;
+  bool tracked;
+  bool baselineClosed;
 
-  void __set_tracked(const std::string& val);
+  _BucketEntry__isset __isset;
+
+  void __set_bucket(const int32_t val);
 
   void __set_epoch(const int64_t val);
 
-  bool operator == (const TrackNotice & rhs) const
+  void __set_baseline(const int32_t val);
+
+  void __set_tracked(const bool val);
+
+  void __set_baselineClosed(const bool val);
+
+  bool operator == (const BucketEntry & rhs) const
   {
-    if (!(serviceId == rhs.serviceId))
+    if (!(bucket == rhs.bucket))
+      return false;
+    if (!(epoch == rhs.epoch))
       return false;
-    if (!(revision == rhs.revision))
+    if (!(baseline == rhs.baseline))
       return false;
-    if (!(tracked == rhs.tracked))
+    if (__isset.tracked != rhs.__isset.tracked)
       return false;
-    if (__isset.epoch != rhs.__isset.epoch)
+    else if (__isset.tracked && !(tracked == rhs.tracked))
       return false;
-    else if (__isset.epoch && !(epoch == rhs.epoch))
+    if (__isset.baselineClosed != rhs.__isset.baselineClosed)
+      return false;
+    else if (__isset.baselineClosed && !(baselineClosed == rhs.baselineClosed))
       return false;
     return true;
   }
-  bool operator != (const TrackNotice &rhs) const {
+  bool operator != (const BucketEntry &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const TrackNotice & ) const;
+  bool operator < (const BucketEntry & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -98,58 +199,68 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TrackNotice &a, TrackNotice &b);
+void swap(BucketEntry &a, BucketEntry &b);
 
-std::ostream& operator<<(std::ostream& out, const TrackNotice& obj);
+std::ostream& operator<<(std::ostream& out, const BucketEntry& obj);
 
-typedef struct _TrackAcknowledgement__isset {
-  _TrackAcknowledgement__isset() : epoch(false) {}
-  bool epoch :1;
-} _TrackAcknowledgement__isset;
+typedef struct _BucketNotice__isset {
+  _BucketNotice__isset() : correction(false) {}
+  bool correction :1;
+} _BucketNotice__isset;
 
-class TrackAcknowledgement : public virtual ::apache::thrift::TBase {
+class BucketNotice : public virtual ::apache::thrift::TBase {
  public:
 
-  TrackAcknowledgement(const TrackAcknowledgement&) noexcept;
-  TrackAcknowledgement(TrackAcknowledgement&&) noexcept;
-  TrackAcknowledgement& operator=(const TrackAcknowledgement&) noexcept;
-  TrackAcknowledgement& operator=(TrackAcknowledgement&&) noexcept;
-  TrackAcknowledgement() noexcept
-                       : serviceId(0),
-                         revision(0),
-                         epoch(0) {
+  BucketNotice(const BucketNotice&);
+  BucketNotice(BucketNotice&&) noexcept;
+  BucketNotice& operator=(const BucketNotice&);
+  BucketNotice& operator=(BucketNotice&&) noexcept;
+  BucketNotice() noexcept
+               : serviceId(0),
+                 sequence(0),
+                 correction(0) {
   }
 
-  virtual ~TrackAcknowledgement() noexcept;
+  virtual ~BucketNotice() noexcept;
   int64_t serviceId;
-  int64_t revision;
-  int64_t epoch;
+  int64_t sequence;
+  std::vector<UpstreamReference>  upstreams;
+  std::vector<BucketEntry>  entries;
+  bool correction;
 
-  _TrackAcknowledgement__isset __isset;
+  _BucketNotice__isset __isset;
 
   void __set_serviceId(const int64_t val);
 
-  void __set_revision(const int64_t val);
+  void __set_sequence(const int64_t val);
 
-  void __set_epoch(const int64_t val);
+  void __set_upstreams(const std::vector<UpstreamReference> & val);
+
+  void __set_entries(const std::vector<BucketEntry> & val);
 
-  bool operator == (const TrackAcknowledgement & rhs) const
+  void __set_correction(const bool val);
+
+  bool operator == (const BucketNotice & rhs) const
   {
     if (!(serviceId == rhs.serviceId))
       return false;
-    if (!(revision == rhs.revision))
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(upstreams == rhs.upstreams))
       return false;
-    if (__isset.epoch != rhs.__isset.epoch)
+    if (!(entries == rhs.entries))
       return false;
-    else if (__isset.epoch && !(epoch == rhs.epoch))
+    if (__isset.correction != rhs.__isset.correction)
+      return false;
+    else if (__isset.correction && !(correction == rhs.correction))
       return false;
     return true;
   }
-  bool operator != (const TrackAcknowledgement &rhs) const {
+  bool operator != (const BucketNotice &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const TrackAcknowledgement & ) const;
+  bool operator < (const BucketNotice & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -157,13 +268,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TrackAcknowledgement &a, TrackAcknowledgement &b);
+void swap(BucketNotice &a, BucketNotice &b);
 
-std::ostream& operator<<(std::ostream& out, const TrackAcknowledgement& obj);
+std::ostream& operator<<(std::ostream& out, const BucketNotice& obj);
 
 typedef struct _FlowRecordCopy__isset {
-  _FlowRecordCopy__isset() : revision(false), ageMilliseconds(false), removed(false) {}
-  bool revision :1;
+  _FlowRecordCopy__isset() : ageMilliseconds(false), removed(false) {}
   bool ageMilliseconds :1;
   bool removed :1;
 } _FlowRecordCopy__isset;
@@ -176,31 +286,27 @@
   FlowRecordCopy& operator=(const FlowRecordCopy&) noexcept;
   FlowRecordCopy& operator=(FlowRecordCopy&&) noexcept;
   FlowRecordCopy() noexcept
-                 : flowLow(0),
-                   flowHigh(0),
+                 : flow(0),
+                   bucket(0),
                    upstream(0),
-                   revision(0),
                    ageMilliseconds(0),
                    removed(0) {
   }
 
   virtual ~FlowRecordCopy() noexcept;
-  int64_t flowLow;
-  int64_t flowHigh;
-  int64_t upstream;
-  int64_t revision;
+  int64_t flow;
+  int32_t bucket;
+  int32_t upstream;
   int32_t ageMilliseconds;
   bool removed;
 
   _FlowRecordCopy__isset __isset;
 
-  void __set_flowLow(const int64_t val);
-
-  void __set_flowHigh(const int64_t val);
+  void __set_flow(const int64_t val);
 
-  void __set_upstream(const int64_t val);
+  void __set_bucket(const int32_t val);
 
-  void __set_revision(const int64_t val);
+  void __set_upstream(const int32_t val);
 
   void __set_ageMilliseconds(const int32_t val);
 
@@ -208,16 +314,12 @@
 
   bool operator == (const FlowRecordCopy & rhs) const
   {
-    if (!(flowLow == rhs.flowLow))
+    if (!(flow == rhs.flow))
       return false;
-    if (!(flowHigh == rhs.flowHigh))
+    if (!(bucket == rhs.bucket))
       return false;
     if (!(upstream == rhs.upstream))
       return false;
-    if (__isset.revision != rhs.__isset.revision)
-      return false;
-    else if (__isset.revision && !(revision == rhs.revision))
-      return false;
     if (__isset.ageMilliseconds != rhs.__isset.ageMilliseconds)
       return false;
     else if (__isset.ageMilliseconds && !(ageMilliseconds == rhs.ageMilliseconds))
@@ -244,11 +346,6 @@
 
 std::ostream& operator<<(std::ostream& out, const FlowRecordCopy& obj);
 
-typedef struct _RecordBatch__isset {
-  _RecordBatch__isset() : handover(false), buckets(false) {}
-  bool handover :1;
-  bool buckets :1;
-} _RecordBatch__isset;
 
 class RecordBatch : public virtual ::apache::thrift::TBase {
  public:
@@ -259,28 +356,22 @@
   RecordBatch& operator=(RecordBatch&&) noexcept;
   RecordBatch() noexcept
               : serviceId(0),
-                sequence(0),
-                handover(0) {
+                sequence(0) {
   }
 
   virtual ~RecordBatch() noexcept;
   int64_t serviceId;
   int64_t sequence;
+  std::vector<UpstreamReference>  upstreams;
   std::vector<FlowRecordCopy>  records;
-  bool handover;
-  std::vector<int32_t>  buckets;
-
-  _RecordBatch__isset __isset;
 
   void __set_serviceId(const int64_t val);
 
   void __set_sequence(const int64_t val);
 
-  void __set_records(const std::vector<FlowRecordCopy> & val);
-
-  void __set_handover(const bool val);
+  void __set_upstreams(const std::vector<UpstreamReference> & val);
 
-  void __set_buckets(const std::vector<int32_t> & val);
+  void __set_records(const std::vector<FlowRecordCopy> & val);
 
   bool operator == (const RecordBatch & rhs) const
   {
@@ -288,15 +379,9 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
-    if (!(records == rhs.records))
-      return false;
-    if (__isset.handover != rhs.__isset.handover)
-      return false;
-    else if (__isset.handover && !(handover == rhs.handover))
-      return false;
-    if (__isset.buckets != rhs.__isset.buckets)
+    if (!(upstreams == rhs.upstreams))
       return false;
-    else if (__isset.buckets && !(buckets == rhs.buckets))
+    if (!(records == rhs.records))
       return false;
     return true;
   }
@@ -317,33 +402,38 @@
 std::ostream& operator<<(std::ostream& out, const RecordBatch& obj);
 
 
-class RecordAcknowledgement : public virtual ::apache::thrift::TBase {
+class GroupClaim : public virtual ::apache::thrift::TBase {
  public:
 
-  RecordAcknowledgement(const RecordAcknowledgement&) noexcept;
-  RecordAcknowledgement(RecordAcknowledgement&&) noexcept;
-  RecordAcknowledgement& operator=(const RecordAcknowledgement&) noexcept;
-  RecordAcknowledgement& operator=(RecordAcknowledgement&&) noexcept;
-  RecordAcknowledgement() noexcept
-                        : sequence(0) {
+  GroupClaim(const GroupClaim&);
+  GroupClaim(GroupClaim&&) noexcept;
+  GroupClaim& operator=(const GroupClaim&);
+  GroupClaim& operator=(GroupClaim&&) noexcept;
+  GroupClaim() noexcept
+             : serviceId(0) {
   }
 
-  virtual ~RecordAcknowledgement() noexcept;
-  int64_t sequence;
+  virtual ~GroupClaim() noexcept;
+  int64_t serviceId;
+  std::vector<int32_t>  groups;
 
-  void __set_sequence(const int64_t val);
+  void __set_serviceId(const int64_t val);
+
+  void __set_groups(const std::vector<int32_t> & val);
 
-  bool operator == (const RecordAcknowledgement & rhs) const
+  bool operator == (const GroupClaim & rhs) const
   {
-    if (!(sequence == rhs.sequence))
+    if (!(serviceId == rhs.serviceId))
+      return false;
+    if (!(groups == rhs.groups))
       return false;
     return true;
   }
-  bool operator != (const RecordAcknowledgement &rhs) const {
+  bool operator != (const GroupClaim &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const RecordAcknowledgement & ) const;
+  bool operator < (const GroupClaim & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -351,55 +441,63 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(RecordAcknowledgement &a, RecordAcknowledgement &b);
+void swap(GroupClaim &a, GroupClaim &b);
 
-std::ostream& operator<<(std::ostream& out, const RecordAcknowledgement& obj);
+std::ostream& operator<<(std::ostream& out, const GroupClaim& obj);
 
-typedef struct _BucketStateRequest__isset {
-  _BucketStateRequest__isset() : serviceId(false), firstBucket(false) {}
-  bool serviceId :1;
-  bool firstBucket :1;
-} _BucketStateRequest__isset;
 
-class BucketStateRequest : public virtual ::apache::thrift::TBase {
+class GroupClaimReply : public virtual ::apache::thrift::TBase {
  public:
 
-  BucketStateRequest(const BucketStateRequest&) noexcept;
-  BucketStateRequest(BucketStateRequest&&) noexcept;
-  BucketStateRequest& operator=(const BucketStateRequest&) noexcept;
-  BucketStateRequest& operator=(BucketStateRequest&&) noexcept;
-  BucketStateRequest() noexcept
-                     : serviceId(0),
-                       firstBucket(0) {
+  GroupClaimReply(const GroupClaimReply&);
+  GroupClaimReply(GroupClaimReply&&) noexcept;
+  GroupClaimReply& operator=(const GroupClaimReply&);
+  GroupClaimReply& operator=(GroupClaimReply&&) noexcept;
+  GroupClaimReply() noexcept
+                  : serviceId(0) {
   }
 
-  virtual ~BucketStateRequest() noexcept;
+  virtual ~GroupClaimReply() noexcept;
   int64_t serviceId;
-  int32_t firstBucket;
-
-  _BucketStateRequest__isset __isset;
+  std::vector<int32_t>  groups;
+  std::vector<int32_t>  activeGroups;
+  std::vector<int32_t>  backupGroups;
+  std::vector<UpstreamReference>  upstreams;
+  std::vector<BucketEntry>  entries;
 
   void __set_serviceId(const int64_t val);
 
-  void __set_firstBucket(const int32_t val);
+  void __set_groups(const std::vector<int32_t> & val);
 
-  bool operator == (const BucketStateRequest & rhs) const
+  void __set_activeGroups(const std::vector<int32_t> & val);
+
+  void __set_backupGroups(const std::vector<int32_t> & val);
+
+  void __set_upstreams(const std::vector<UpstreamReference> & val);
+
+  void __set_entries(const std::vector<BucketEntry> & val);
+
+  bool operator == (const GroupClaimReply & rhs) const
   {
-    if (__isset.serviceId != rhs.__isset.serviceId)
+    if (!(serviceId == rhs.serviceId))
       return false;
-    else if (__isset.serviceId && !(serviceId == rhs.serviceId))
+    if (!(groups == rhs.groups))
+      return false;
+    if (!(activeGroups == rhs.activeGroups))
       return false;
-    if (__isset.firstBucket != rhs.__isset.firstBucket)
+    if (!(backupGroups == rhs.backupGroups))
       return false;
-    else if (__isset.firstBucket && !(firstBucket == rhs.firstBucket))
+    if (!(upstreams == rhs.upstreams))
+      return false;
+    if (!(entries == rhs.entries))
       return false;
     return true;
   }
-  bool operator != (const BucketStateRequest &rhs) const {
+  bool operator != (const GroupClaimReply &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const BucketStateRequest & ) const;
+  bool operator < (const GroupClaimReply & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -407,72 +505,144 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(BucketStateRequest &a, BucketStateRequest &b);
+void swap(GroupClaimReply &a, GroupClaimReply &b);
 
-std::ostream& operator<<(std::ostream& out, const BucketStateRequest& obj);
+std::ostream& operator<<(std::ostream& out, const GroupClaimReply& obj);
 
-typedef struct _BucketStateReply__isset {
-  _BucketStateReply__isset() : baselines(false), last(false) {}
-  bool baselines :1;
-  bool last :1;
-} _BucketStateReply__isset;
 
-class BucketStateReply : public virtual ::apache::thrift::TBase {
+class GroupOrder : public virtual ::apache::thrift::TBase {
  public:
 
-  BucketStateReply(const BucketStateReply&);
-  BucketStateReply(BucketStateReply&&) noexcept;
-  BucketStateReply& operator=(const BucketStateReply&);
-  BucketStateReply& operator=(BucketStateReply&&) noexcept;
-  BucketStateReply() noexcept
-                   : serviceId(0),
-                     revision(0),
-                     tracked(),
-                     last(0) {
+  GroupOrder(const GroupOrder&);
+  GroupOrder(GroupOrder&&) noexcept;
+  GroupOrder& operator=(const GroupOrder&);
+  GroupOrder& operator=(GroupOrder&&) noexcept;
+  GroupOrder() noexcept
+             : serviceId(0),
+               sequence(0),
+               kind(static_cast<GroupOrderKind::type>(0)) {
   }
 
-  virtual ~BucketStateReply() noexcept;
+  virtual ~GroupOrder() noexcept;
   int64_t serviceId;
-  int64_t revision;
-  std::string tracked;
-  std::map<int32_t, int64_t>  baselines;
-  bool last;
-
-  _BucketStateReply__isset __isset;
+  int64_t sequence;
+  /**
+   * 
+   * @see GroupOrderKind
+   */
+  GroupOrderKind::type kind;
+  std::vector<int32_t>  groups;
 
   void __set_serviceId(const int64_t val);
 
-  void __set_revision(const int64_t val);
-
-  void __set_tracked(const std::string& val);
+  void __set_sequence(const int64_t val);
 
-  void __set_baselines(const std::map<int32_t, int64_t> & val);
+  void __set_kind(const GroupOrderKind::type val);
 
-  void __set_last(const bool val);
+  void __set_groups(const std::vector<int32_t> & val);
 
-  bool operator == (const BucketStateReply & rhs) const
+  bool operator == (const GroupOrder & rhs) const
   {
     if (!(serviceId == rhs.serviceId))
       return false;
-    if (!(revision == rhs.revision))
+    if (!(sequence == rhs.sequence))
       return false;
-    if (!(tracked == rhs.tracked))
+    if (!(kind == rhs.kind))
       return false;
-    if (__isset.baselines != rhs.__isset.baselines)
+    if (!(groups == rhs.groups))
       return false;
-    else if (__isset.baselines && !(baselines == rhs.baselines))
+    return true;
+  }
+  bool operator != (const GroupOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GroupOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GroupOrder &a, GroupOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const GroupOrder& obj);
+
+
+class PlacementAcknowledgement : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlacementAcknowledgement(const PlacementAcknowledgement&);
+  PlacementAcknowledgement(PlacementAcknowledgement&&) noexcept;
+  PlacementAcknowledgement& operator=(const PlacementAcknowledgement&);
+  PlacementAcknowledgement& operator=(PlacementAcknowledgement&&) noexcept;
+  PlacementAcknowledgement() noexcept {
+  }
+
+  virtual ~PlacementAcknowledgement() noexcept;
+  std::vector<int64_t>  sequences;
+
+  void __set_sequences(const std::vector<int64_t> & val);
+
+  bool operator == (const PlacementAcknowledgement & rhs) const
+  {
+    if (!(sequences == rhs.sequences))
       return false;
-    if (__isset.last != rhs.__isset.last)
+    return true;
+  }
+  bool operator != (const PlacementAcknowledgement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlacementAcknowledgement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlacementAcknowledgement &a, PlacementAcknowledgement &b);
+
+std::ostream& operator<<(std::ostream& out, const PlacementAcknowledgement& obj);
+
+typedef struct _BucketStateRequest__isset {
+  _BucketStateRequest__isset() : serviceId(false) {}
+  bool serviceId :1;
+} _BucketStateRequest__isset;
+
+class BucketStateRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  BucketStateRequest(const BucketStateRequest&) noexcept;
+  BucketStateRequest(BucketStateRequest&&) noexcept;
+  BucketStateRequest& operator=(const BucketStateRequest&) noexcept;
+  BucketStateRequest& operator=(BucketStateRequest&&) noexcept;
+  BucketStateRequest() noexcept
+                     : serviceId(0) {
+  }
+
+  virtual ~BucketStateRequest() noexcept;
+  int64_t serviceId;
+
+  _BucketStateRequest__isset __isset;
+
+  void __set_serviceId(const int64_t val);
+
+  bool operator == (const BucketStateRequest & rhs) const
+  {
+    if (__isset.serviceId != rhs.__isset.serviceId)
       return false;
-    else if (__isset.last && !(last == rhs.last))
+    else if (__isset.serviceId && !(serviceId == rhs.serviceId))
       return false;
     return true;
   }
-  bool operator != (const BucketStateReply &rhs) const {
+  bool operator != (const BucketStateRequest &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const BucketStateReply & ) const;
+  bool operator < (const BucketStateRequest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -480,18 +650,19 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(BucketStateReply &a, BucketStateReply &b);
+void swap(BucketStateRequest &a, BucketStateRequest &b);
 
-std::ostream& operator<<(std::ostream& out, const BucketStateReply& obj);
+std::ostream& operator<<(std::ostream& out, const BucketStateRequest& obj);
 
 typedef struct _PlacementMessage__isset {
-  _PlacementMessage__isset() : trackNotice(false), trackAcknowledgement(false), recordBatch(false), recordAcknowledgement(false), bucketStateRequest(false), bucketStateReply(false) {}
-  bool trackNotice :1;
-  bool trackAcknowledgement :1;
+  _PlacementMessage__isset() : bucketNotice(false), recordBatch(false), groupClaim(false), groupClaimReply(false), groupOrder(false), acknowledgement(false), bucketStateRequest(false) {}
+  bool bucketNotice :1;
   bool recordBatch :1;
-  bool recordAcknowledgement :1;
+  bool groupClaim :1;
+  bool groupClaimReply :1;
+  bool groupOrder :1;
+  bool acknowledgement :1;
   bool bucketStateRequest :1;
-  bool bucketStateReply :1;
 } _PlacementMessage__isset;
 
 class PlacementMessage : public virtual ::apache::thrift::TBase {
@@ -505,52 +676,59 @@
   }
 
   virtual ~PlacementMessage() noexcept;
-  TrackNotice trackNotice;
-  TrackAcknowledgement trackAcknowledgement;
+  BucketNotice bucketNotice;
   RecordBatch recordBatch;
-  RecordAcknowledgement recordAcknowledgement;
+  GroupClaim groupClaim;
+  GroupClaimReply groupClaimReply;
+  GroupOrder groupOrder;
+  PlacementAcknowledgement acknowledgement;
   BucketStateRequest bucketStateRequest;
-  BucketStateReply bucketStateReply;
 
   _PlacementMessage__isset __isset;
 
-  void __set_trackNotice(const TrackNotice& val);
-
-  void __set_trackAcknowledgement(const TrackAcknowledgement& val);
+  void __set_bucketNotice(const BucketNotice& val);
 
   void __set_recordBatch(const RecordBatch& val);
 
-  void __set_recordAcknowledgement(const RecordAcknowledgement& val);
+  void __set_groupClaim(const GroupClaim& val);
 
-  void __set_bucketStateRequest(const BucketStateRequest& val);
+  void __set_groupClaimReply(const GroupClaimReply& val);
+
+  void __set_groupOrder(const GroupOrder& val);
 
-  void __set_bucketStateReply(const BucketStateReply& val);
+  void __set_acknowledgement(const PlacementAcknowledgement& val);
+
+  void __set_bucketStateRequest(const BucketStateRequest& val);
 
   bool operator == (const PlacementMessage & rhs) const
   {
-    if (__isset.trackNotice != rhs.__isset.trackNotice)
-      return false;
-    else if (__isset.trackNotice && !(trackNotice == rhs.trackNotice))
+    if (__isset.bucketNotice != rhs.__isset.bucketNotice)
       return false;
-    if (__isset.trackAcknowledgement != rhs.__isset.trackAcknowledgement)
-      return false;
-    else if (__isset.trackAcknowledgement && !(trackAcknowledgement == rhs.trackAcknowledgement))
+    else if (__isset.bucketNotice && !(bucketNotice == rhs.bucketNotice))
       return false;
     if (__isset.recordBatch != rhs.__isset.recordBatch)
       return false;
     else if (__isset.recordBatch && !(recordBatch == rhs.recordBatch))
       return false;
-    if (__isset.recordAcknowledgement != rhs.__isset.recordAcknowledgement)
+    if (__isset.groupClaim != rhs.__isset.groupClaim)
       return false;
-    else if (__isset.recordAcknowledgement && !(recordAcknowledgement == rhs.recordAcknowledgement))
+    else if (__isset.groupClaim && !(groupClaim == rhs.groupClaim))
       return false;
-    if (__isset.bucketStateRequest != rhs.__isset.bucketStateRequest)
+    if (__isset.groupClaimReply != rhs.__isset.groupClaimReply)
       return false;
-    else if (__isset.bucketStateRequest && !(bucketStateRequest == rhs.bucketStateRequest))
+    else if (__isset.groupClaimReply && !(groupClaimReply == rhs.groupClaimReply))
       return false;
-    if (__isset.bucketStateReply != rhs.__isset.bucketStateReply)
+    if (__isset.groupOrder != rhs.__isset.groupOrder)
       return false;
-    else if (__isset.bucketStateReply && !(bucketStateReply == rhs.bucketStateReply))
+    else if (__isset.groupOrder && !(groupOrder == rhs.groupOrder))
+      return false;
+    if (__isset.acknowledgement != rhs.__isset.acknowledgement)
+      return false;
+    else if (__isset.acknowledgement && !(acknowledgement == rhs.acknowledgement))
+      return false;
+    if (__isset.bucketStateRequest != rhs.__isset.bucketStateRequest)
+      return false;
+    else if (__isset.bucketStateRequest && !(bucketStateRequest == rhs.bucketStateRequest))
       return false;
     return true;
   }
--- /dev/null
+++ b/Libraries/LibPlacement/Counters.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibPlacement/Decision.h>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+
+namespace Chicorytally::Placement {
+
+/// What the engine has decided since its start, and what it holds now.
+struct EngineCounters {
+    /// Packets by reason, in the order of the enum.
+    std::array<std::uint64_t, ReasonCount> reasons {};
+    std::array<std::uint64_t, VerdictCount> verdicts {};
+    std::uint64_t peerHops { 0 };
+    std::size_t buckets { 0 };
+    std::size_t trackedBuckets { 0 };
+    std::size_t ownedBuckets { 0 };
+    /// Records as owner, and copies held for other owners.
+    std::size_t records { 0 };
+    std::size_t copies { 0 };
+    /// Records as owner that differ from the baseline of their bucket.
+    std::size_t differingRecords { 0 };
+};
+
+/// Counts decisions. Threads are spread over slots, so that they don't share cache lines.
+class DecisionCounters {
+public:
+    void count(Decision const& decision)
+    {
+        auto& slot = m_slots[slotOfThread()];
+        slot.reasons[static_cast<std::size_t>(decision.reason)].fetch_add(1, std::memory_order_relaxed);
+        slot.verdicts[static_cast<std::size_t>(decision.verdict)].fetch_add(1, std::memory_order_relaxed);
+    }
+
+    void addTo(EngineCounters& counters) const
+    {
+        for (auto const& slot : m_slots) {
+            for (std::size_t i = 0; i < ReasonCount; ++i)
+                counters.reasons[i] += slot.reasons[i].load(std::memory_order_relaxed);
+            for (std::size_t i = 0; i < VerdictCount; ++i)
+                counters.verdicts[i] += slot.verdicts[i].load(std::memory_order_relaxed);
+        }
+        counters.peerHops = counters.verdicts[static_cast<std::size_t>(Verdict::ForwardToPeer)];
+    }
+
+private:
+    static constexpr std::size_t SlotCount = 16;
+
+    struct alignas(64) Slot {
+        std::array<std::atomic<std::uint64_t>, ReasonCount> reasons {};
+        std::array<std::atomic<std::uint64_t>, VerdictCount> verdicts {};
+    };
+
+    static std::size_t slotOfThread()
+    {
+        static std::atomic<std::size_t> s_next { 0 };
+        static thread_local std::size_t s_slot = s_next.fetch_add(1, std::memory_order_relaxed) % SlotCount;
+        return s_slot;
+    }
+
+    std::array<Slot, SlotCount> m_slots;
+};
+
+}
--- a/Libraries/LibPlacement/Decision.h
+++ b/Libraries/LibPlacement/Decision.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Core.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -60,6 +61,9 @@
     HopLimit,
 };
 
+inline constexpr std::size_t VerdictCount = static_cast<std::size_t>(Verdict::Drop) + 1;
+inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::HopLimit) + 1;
+
 std::string_view toString(Verdict);
 std::string_view toString(Reason);
 
--- /dev/null
+++ b/Libraries/LibPlacement/FlowPlacer.cpp
@@ -0,0 +1,178 @@
+#include <LibPlacement/FlowPlacer.h>
+
+namespace Chicorytally::Placement {
+
+static Decision drop(Reason reason) { return { .verdict = Verdict::Drop, .reason = reason }; }
+
+static Decision refuse(Reason reason) { return { .verdict = Verdict::Refuse, .reason = reason }; }
+
+Decision FlowPlacer::forward(PacketLookup const& lookup, UpstreamIndex index, Reason reason)
+{
+    if (index >= lookup.view.upstreams.size())
+        return drop(Reason::NotSynchronised);
+    auto const& upstream = lookup.view.upstreams[index];
+    // A refused open means "not run", which is unknown for an open whose upstream is out; it is dropped.
+    auto giveUp = lookup.packet.kind == PacketKind::Open ? Verdict::Drop : Verdict::Reset;
+    switch (upstream.availability) {
+    case UpstreamAvailability::Usable:
+        break;
+    case UpstreamAvailability::ZoneOut:
+        return { .verdict = giveUp, .reason = Reason::AvailabilityZoneOut };
+    case UpstreamAvailability::Gone:
+        return { .verdict = giveUp, .reason = Reason::UpstreamGone };
+    case UpstreamAvailability::Unknown:
+        return drop(Reason::NotSynchronised);
+    }
+    return { .verdict = Verdict::Forward,
+        .reason = reason,
+        .upstream = upstream.id,
+        .destination = upstream.destination };
+}
+
+Decision FlowPlacer::decide(PacketLookup const& lookup, BucketGroup& group)
+{
+    auto& bucket = group.buckets[ServiceState::inGroup(lookup.bucket)];
+    auto position = group.records.find(lookup.flow);
+    if (position == group.records.end())
+        return decideUnknown(lookup, group, bucket);
+    if (lookup.packet.kind == PacketKind::Open && position->second.isClosing) {
+        // The caller uses the port again for a new flow.
+        erase(lookup, group, position->second);
+        group.records.erase(position);
+        return open(lookup, group, bucket);
+    }
+    return decideByRecord(lookup, group, position->second);
+}
+
+void FlowPlacer::erase(PacketLookup const& lookup, BucketGroup& group, FlowRecord const& record)
+{
+    if (record.isCopied || record.isCopyQueued)
+        group.pendingRemovals.push_back({ lookup.flow, record.bucketInGroup });
+    m_shared.recordCount.fetch_sub(1, std::memory_order_relaxed);
+}
+
+Decision FlowPlacer::decideByRecord(PacketLookup const& lookup, BucketGroup&, FlowRecord& record)
+{
+    record.lastSeen = RecordTime { lookup.now };
+    if (lookup.packet.kind == PacketKind::Open)
+        return forward(lookup, record.upstream, Reason::Record);
+    // The backup must know the record before a packet relies on it.
+    if (!record.isConfirmed)
+        return drop(Reason::AwaitingAcknowledgement);
+    if (lookup.packet.kind == PacketKind::Close && !record.isClosing) {
+        record.isClosing = true;
+        if (record.isCounted && m_hooks.flowClosed)
+            m_hooks.flowClosed(lookup.packet.service, lookup.view.upstreams[record.upstream].id);
+        record.isCounted = false;
+    }
+    return forward(lookup, record.upstream, Reason::Record);
+}
+
+Decision FlowPlacer::decideUnknown(PacketLookup const& lookup, BucketGroup& group, BucketState& bucket)
+{
+    if (lookup.packet.kind == PacketKind::Open)
+        return open(lookup, group, bucket);
+    bool isUdp = lookup.view.service->protocol == Core::Protocol::Udp;
+    if (isUdp && bucket.isTracked && !lookup.packet.isKnownToSender) {
+        // Without an opening packet, a flow that was silent for the settling time can't be told from a new one.
+        bool isSettled = bucket.acknowledgedAt && lookup.now - *bucket.acknowledgedAt >= UdpSettlingTime;
+        if (isSettled)
+            return open(lookup, group, bucket);
+    }
+    if (bucket.baseline == NoUpstreamIndex)
+        return drop(Reason::NoUpstream);
+    auto decision = forward(lookup, bucket.baseline, Reason::Baseline);
+    bool isHeldAtBaseline = decision.verdict == Verdict::Forward && lookup.packet.kind == PacketKind::Data;
+    if (bucket.isTracked && isHeldAtBaseline) {
+        // Once every live flow has a record, the baseline may change. A flow that gets none delays that.
+        if (auto* record = addRecord(lookup, group, bucket.baseline))
+            record->isConfirmed = true;
+        else
+            bucket.acknowledgedAt.reset();
+    }
+    return decision;
+}
+
+FlowRecord* FlowPlacer::addRecord(PacketLookup const& lookup, BucketGroup& group, UpstreamIndex upstream)
+{
+    if (m_shared.recordCount.load(std::memory_order_relaxed) >= m_options.maxRecords)
+        return nullptr;
+    m_shared.recordCount.fetch_add(1, std::memory_order_relaxed);
+    auto& record = group.records[lookup.flow];
+    record = FlowRecord {};
+    record.upstream = upstream;
+    record.bucketInGroup = static_cast<std::uint8_t>(ServiceState::inGroup(lookup.bucket));
+    record.lastSeen = record.opened = RecordTime { lookup.now };
+    return &record;
+}
+
+Decision FlowPlacer::open(PacketLookup const& lookup, BucketGroup& group, BucketState& bucket)
+{
+    auto const& upstreams = lookup.view.upstreams;
+    bool isClosedForLong = bucket.isBaselineClosed && lookup.now - bucket.closedAt >= RepeatWindow;
+    bool mayBeRepeat = !group.isCold && lookup.now - group.activeSince < RepeatWindow && !isClosedForLong;
+    bool isTargetOnly = !m_hooks.select;
+
+    UpstreamIndex chosen = bucket.target;
+    bool isBaselineOpen = bucket.baseline != NoUpstreamIndex && upstreams[bucket.baseline].takesNewFlows;
+    if (mayBeRepeat && !isBaselineOpen)
+        return drop(Reason::AwaitingAcknowledgement);
+    if (isTargetOnly) {
+        if (mayBeRepeat)
+            chosen = bucket.baseline;
+    } else {
+        auto candidates = lookup.view.table->preferences(lookup.bucket);
+        if (mayBeRepeat)
+            candidates = { lookup.view.service->findUpstream(upstreams[bucket.baseline].id) };
+        auto selection = m_hooks.select({ *lookup.view.service, candidates });
+        if (!selection.index || *selection.index >= candidates.size())
+            return mayBeRepeat ? drop(selection.refusal) : refuse(selection.refusal);
+        chosen = NoUpstreamIndex;
+        auto wanted = candidates[*selection.index]->id;
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+            if (upstreams[i].id == wanted)
+                chosen = static_cast<UpstreamIndex>(i);
+        }
+    }
+    if (chosen == NoUpstreamIndex)
+        return refuse(Reason::NoUpstream);
+    return place(lookup, group, bucket, chosen);
+}
+
+Decision FlowPlacer::place(PacketLookup const& lookup, BucketGroup& group, BucketState& bucket, UpstreamIndex chosen)
+{
+    if (bucket.proposal && chosen != bucket.proposal->baseline)
+        return drop(Reason::AwaitingAcknowledgement);
+    if (chosen != bucket.baseline) {
+        if (!bucket.isTracked) {
+            bucket.track(nextEpoch(bucket.epoch, m_options.self), lookup.now);
+            lookup.view.state->publish(lookup.bucket);
+            group.needsWork = true;
+            m_shared.hasUrgentMessages.store(true, std::memory_order_relaxed);
+        }
+        if (bucket.permission == OffBaselinePermission::Waiting)
+            return drop(Reason::AwaitingAcknowledgement);
+        if (bucket.permission == OffBaselinePermission::Refused)
+            return refuse(Reason::Partitioned);
+    }
+    auto decision = forward(lookup, chosen, Reason::NewFlow);
+    if (decision.verdict != Verdict::Forward)
+        return decision;
+    auto* record = addRecord(lookup, group, chosen);
+    if (!record)
+        return drop(Reason::Overloaded);
+    record->isCounted = true;
+    // At the baseline the flow needs no record; during a proposal the baseline is about to change.
+    if (chosen == bucket.baseline && !bucket.proposal) {
+        record->isConfirmed = true;
+    } else {
+        group.queueCopy(lookup.flow, *record);
+        group.needsWork = true;
+        m_shared.hasUrgentMessages.store(true, std::memory_order_relaxed);
+    }
+    if (m_hooks.flowOpened)
+        m_hooks.flowOpened(lookup.packet.service, lookup.view.upstreams[chosen].id);
+    return decision;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/FlowPlacer.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibPlacement/Options.h>
+#include <LibPlacement/ServiceState.h>
+
+namespace Chicorytally::Placement {
+
+/// One packet with what it was looked up by.
+struct PacketLookup {
+    PacketInfo const& packet;
+    Snapshot const& snapshot;
+    ServiceView const& view;
+    std::size_t bucket;
+    FlowHash flow;
+    Core::TimePoint now;
+};
+
+/// Decides packets at the owner of their bucket. All functions need the lock of the bucket's group.
+class FlowPlacer {
+public:
+    FlowPlacer(EngineOptions const& options, EngineHooks const& hooks, SharedState& shared)
+        : m_options(options)
+        , m_hooks(hooks)
+        , m_shared(shared)
+    {
+    }
+
+    Decision decide(PacketLookup const&, BucketGroup&);
+    /// Forward to the upstream, or give the flow up when the upstream is out or gone.
+    static Decision forward(PacketLookup const&, UpstreamIndex, Reason);
+
+private:
+    Decision decideByRecord(PacketLookup const&, BucketGroup&, FlowRecord&);
+    Decision decideUnknown(PacketLookup const&, BucketGroup&, BucketState&);
+    Decision open(PacketLookup const&, BucketGroup&, BucketState&);
+    Decision place(PacketLookup const&, BucketGroup&, BucketState&, UpstreamIndex);
+    FlowRecord* addRecord(PacketLookup const&, BucketGroup&, UpstreamIndex);
+    void erase(PacketLookup const&, BucketGroup&, FlowRecord const&);
+
+    EngineOptions const& m_options;
+    EngineHooks const& m_hooks;
+    SharedState& m_shared;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/Table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibModel/Model.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace Chicorytally::Placement {
+
+/// Where new flows of each bucket of a service go; a pure function of the configuration. Immutable, thread-safe.
+///
+/// Each bucket ranks the upstreams by weighted rendezvous score (Thaler and Ravishankar 1998; weights after Schindelhauer
+/// and Schomaker 2005). Buckets are matched to upstreams by deferred acceptance (Gale and Shapley 1962), with shares
+/// bounded to 1.03 of the weighted mean.
+class Table {
+public:
+    static constexpr std::size_t MinimumBucketCount = 2048;
+    static constexpr std::size_t BucketsPerUpstream = 64;
+    static constexpr double ShareCap = 1.03;
+
+    Table(Model::Configuration const&, Model::Service const&);
+
+    static std::size_t bucketCount(Model::Service const&);
+    /// Upstreams that take new flows: not draining, and in an availability zone that is in.
+    static bool takesNewFlows(Model::Configuration const&, Model::Upstream const&);
+
+    std::size_t bucketCount() const { return m_targets.size(); }
+    /// Nothing when no upstream takes new flows. Points into the configuration.
+    Model::Upstream const* target(std::size_t bucket) const { return m_targets[bucket]; }
+    /// The bucket's target, then the other upstreams that take new flows in order of score.
+    std::vector<Model::Upstream const*> preferences(std::size_t bucket) const;
+
+private:
+    struct Ranked {
+        double score;
+        std::uint32_t upstream;
+    };
+
+    std::vector<Ranked> rank(std::size_t bucket) const;
+    void match();
+
+    std::vector<Model::Upstream const*> m_upstreams;
+    std::vector<Model::Upstream const*> m_targets;
+    std::uint64_t m_seed;
+};
+
+}
