--- /dev/null
+++ b/Libraries/LibLoad/LoadEstimate.cpp
@@ -0,0 +1,84 @@
+#include <LibLoad/LoadEstimate.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Load {
+
+static std::optional<double> reportedUtilisation(
+    UpstreamReport const& report, std::uint32_t slots, std::uint32_t maxConnections)
+{
+    if (report.busySlots && slots > 0)
+        return static_cast<double>(*report.busySlots) / slots;
+    if (report.connections && maxConnections > 0)
+        return static_cast<double>(*report.connections) / maxConnections;
+    return std::nullopt;
+}
+
+// An upstream whose reporting is broken says zero, and would draw the load of the whole service.
+static bool isImplausibleZero(UpstreamReport const& report, LoadEstimate::Observation const& observation)
+{
+    constexpr double BusyService = 0.3;
+    constexpr std::uint32_t FewFlows = 2;
+    if (observation.ownFlows < FewFlows)
+        return false;
+    if (report.connections == 0U)
+        return true;
+    return report.busySlots == 0U && observation.serviceMean.value_or(0) > BusyService;
+}
+
+bool LoadEstimate::record(UpstreamReport const& report, std::uint32_t slots, std::uint32_t maxConnections,
+    Observation const& observation, Core::TimePoint now)
+{
+    constexpr double GreatestUtilisation = 1.5;
+    if (report.age >= Lifetime || isImplausibleZero(report, observation))
+        return false;
+    auto measuredAt = now - report.age;
+    if (report.connections && measuredAt >= m_connectionsAt) {
+        m_connections = report.connections;
+        m_connectionsAt = measuredAt;
+    }
+    auto value = reportedUtilisation(report, slots, maxConnections);
+    if (!value || measuredAt < m_reportedAt)
+        return true;
+    value = std::min(*value, GreatestUtilisation);
+    auto age = std::chrono::duration<double>(report.age) / std::chrono::duration<double>(Lifetime);
+    auto step = GreatestStep * (1 - age);
+    // The first estimate starts at the service's mean: a single report must not set it.
+    auto known = utilisation(now).value_or(observation.serviceMean.value_or(*value));
+    m_utilisation = known + std::clamp(*value - known, -step, step);
+    m_reportedAt = measuredAt;
+    return true;
+}
+
+double LoadEstimate::influence(Core::TimePoint now) const
+{
+    if (!m_utilisation)
+        return 0;
+    auto age = std::chrono::duration<double>(now - m_reportedAt) / std::chrono::duration<double>(Lifetime);
+    return std::clamp(1 - age, 0.0, 1.0);
+}
+
+std::optional<double> LoadEstimate::utilisation(Core::TimePoint now) const
+{
+    if (influence(now) <= 0)
+        return std::nullopt;
+    return m_utilisation;
+}
+
+double LoadEstimate::factor(std::optional<double> serviceMean, Core::TimePoint now) const
+{
+    auto known = utilisation(now);
+    if (!known || !serviceMean || *serviceMean <= 0)
+        return 1;
+    auto bounded = std::clamp(*known / *serviceMean, LeastFactor, GreatestFactor);
+    return 1 + influence(now) * (bounded - 1);
+}
+
+std::optional<std::uint32_t> LoadEstimate::reportedConnections(Core::TimePoint now) const
+{
+    if (now - m_connectionsAt >= Lifetime)
+        return std::nullopt;
+    return m_connections;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/LoadState.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <LibLoad/LoadController.h>
+#include <LibLoad/OpenerSet.h>
+#include <LibLoad/OverloadGuard.h>
+#include <LibLoad/ServiceState.h>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <memory>
+
+namespace Chicorytally::Load {
+
+/// The state behind LoadController; its public functions are called under the controller's lock.
+class LoadController::State {
+public:
+    static constexpr std::chrono::milliseconds ProbeInterval { 500 };
+    /// Changed counts are published this often, all counts and start ages at the longer interval.
+    static constexpr std::chrono::seconds CountInterval { 1 };
+    static constexpr std::chrono::seconds FullCountInterval { 10 };
+    static constexpr std::chrono::seconds HealthInterval { 2 };
+    /// Entries in one message, so that it stays below a datagram of 1,200 bytes.
+    static constexpr std::size_t EntriesPerMessage = 32;
+    /// Reports have to agree this long with the counts of the living before flows of lost openers are given up.
+    static constexpr std::chrono::seconds OrphanSettlingTime { 10 };
+
+    State(Core::Clock const&, LoadOptions);
+
+    absl::Mutex lock;
+
+    void applyConfiguration(Model::Configuration const&);
+    void applyMembers(std::vector<LoadMember> const&);
+    Placement::Selection select(Placement::SelectionRequest const&);
+    void flowOpened(Core::ServiceId, Core::UpstreamId);
+    void flowClosed(Core::UpstreamId);
+    void adoptedFlowClosed(Core::UpstreamId);
+    void flowConfirmed(Core::UpstreamId);
+    bool admitRepeatedOpen(Core::ServiceId, Core::UpstreamId);
+    void recordReport(Core::UpstreamId, UpstreamReport const&);
+    std::vector<ProbeTarget> probesDue();
+    void receive(Core::VmId sender, Messages::LoadMessage const&);
+    std::vector<OutgoingMessage> tick();
+    void setOverloaded(bool isOverloaded) { m_guard.setOverloaded(isOverloaded); }
+    bool isReady() const { return m_openers.isReady(); }
+    std::vector<UpstreamStatus> status() const;
+    ControllerStatus controllerStatus() const;
+
+private:
+    UpstreamState* find(Core::UpstreamId) const;
+    Core::TimePoint now() const { return m_clock.now(); }
+
+    // Configuration.
+    void applyUpstream(ServiceState&, Core::ServiceId, Model::Upstream const&, bool isZoneIn);
+    void removeMissing(Model::Configuration const&);
+    void forgetRemoved();
+
+    // Choice.
+    CandidateView look(ServiceState&, UpstreamState&, bool isSpill);
+    Placement::Reason refusalReason(ServiceState&, Placement::SelectionRequest const&);
+    void updateMeans(ServiceState&) const;
+    double relativeLoad(ServiceState const&, UpstreamState const&) const;
+    double fairRate(ServiceState const&, UpstreamState const&) const;
+    bool isUsable(ServiceState const&, UpstreamState const&) const;
+    std::uint32_t share(UpstreamState&) const;
+    std::uint32_t shareNow(UpstreamState const&, bool& isSettled) const;
+    std::uint32_t rampShare(ServiceState const&, UpstreamState const&) const;
+    std::uint32_t fleetFlows(UpstreamState const&) const;
+
+    // Health and starts.
+    void applyReport(UpstreamState&, UpstreamReport const&);
+    void start(UpstreamState&, StartCause);
+    void confirmStart(UpstreamState&, UpstreamReport const&);
+    void noteUnexplainedFlows(UpstreamState&);
+    void updateHealth();
+    void updateService(ServiceState&);
+    bool isTrafficDead(ServiceState const&, UpstreamState const&) const;
+
+    // Orphans.
+    bool hasEnded(Core::UpstreamId, Core::TimePoint lostAt) const;
+    void retireOrphans();
+
+    // Messages.
+    void addCounts(std::vector<Messages::LoadMessage>&, bool isFull);
+    void addLostCounts(std::vector<Messages::LoadMessage>&) const;
+    void addHealth(std::vector<Messages::LoadMessage>&, bool isDue);
+    void receiveHealth(Core::VmId sender, Messages::HealthResults const&);
+    void receiveStartAges(Messages::UpstreamCounts const&);
+
+    Core::Clock const& m_clock;
+    LoadOptions m_options;
+    OpenerSet m_openers;
+    OverloadGuard m_guard;
+    bool m_hasConfiguration { false };
+    // Ordered, so that a run visits the upstreams in the same order every time.
+    std::map<Core::UpstreamId, std::unique_ptr<UpstreamState>> m_upstreams;
+    absl::flat_hash_map<Core::UpstreamId, UpstreamState*> m_index;
+    absl::flat_hash_map<Core::ServiceId, std::unique_ptr<ServiceState>> m_services;
+    std::int64_t m_order { 0 };
+    std::uint64_t m_publishedVersion { 0 };
+    Core::TimePoint m_nextCounts;
+    Core::TimePoint m_nextFullCounts;
+    Core::TimePoint m_nextHealth;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/LoadStateChoice.cpp
@@ -0,0 +1,166 @@
+// The part of LoadController::State that chooses an upstream for a new flow.
+
+#include <LibLoad/LoadState.h>
+
+namespace Chicorytally::Load {
+
+std::uint32_t LoadController::State::fleetFlows(UpstreamState const& upstream) const
+{
+    auto others = m_openers.othersFlows(upstream.upstream.id);
+    auto ended = std::min(upstream.flows.credit(), others);
+    return upstream.flows.open() + others - ended;
+}
+
+std::uint32_t LoadController::State::shareNow(UpstreamState const& upstream, bool& isSettled) const
+{
+    if (!m_openers.isReady())
+        return 0;
+    auto id = upstream.upstream.id;
+    auto limit = upstream.upstream.maxConnections;
+    auto result = m_openers.ownShare(id, limit);
+    if (!isSettled) {
+        auto overhang = m_openers.overhang(id, limit);
+        if (!overhang)
+            return 0;
+        isSettled = *overhang == 0;
+        result -= std::min(result, *overhang);
+    }
+    if (m_openers.hasLost(id)) {
+        auto withoutLost = m_openers.ownShare(id, limit, false);
+        result = std::max(result, std::min(result + upstream.flows.credit(), withoutLost));
+    }
+    return result;
+}
+
+std::uint32_t LoadController::State::share(UpstreamState& upstream) const
+{
+    auto result = shareNow(upstream, upstream.isShareSettled);
+    // When the lost opener's share has been given out, the flows that ended are part of it.
+    if (!m_openers.hasLost(upstream.upstream.id))
+        upstream.flows.dropCredit();
+    return result;
+}
+
+std::uint32_t LoadController::State::rampShare(ServiceState const& service, UpstreamState const& upstream) const
+{
+    auto fraction = upstream.slowStart.fraction(service.slowStart, now());
+    auto limit = SlowStart::limitAt(fraction, upstream.upstream.maxConnections);
+    return m_openers.ownShare(upstream.upstream.id, limit);
+}
+
+bool LoadController::State::isUsable(ServiceState const& service, UpstreamState const& upstream) const
+{
+    if (!upstream.isZoneIn || upstream.isRemoved || upstream.drain.isDraining())
+        return false;
+    if (upstream.health.isHealthy())
+        return true;
+    // In a panic only what this VM sees in its own traffic is believed.
+    return service.isPanic && !upstream.health.isDeadInTraffic(now());
+}
+
+double LoadController::State::fairRate(ServiceState const& service, UpstreamState const& upstream) const
+{
+    auto rate = service.opens.perSecond(now());
+    if (!rate || service.usableWeight <= 0)
+        return 0;
+    return *rate * upstream.upstream.weight / service.usableWeight;
+}
+
+void LoadController::State::updateMeans(ServiceState& service) const
+{
+    double flows = 0;
+    double weight = 0;
+    std::size_t count = 0;
+    for (auto const* upstream : service.upstreams) {
+        if (!isUsable(service, *upstream) || upstream->slowStart.isRunning(service.slowStart, now()))
+            continue;
+        flows += fleetFlows(*upstream);
+        weight += upstream->upstream.weight;
+        ++count;
+    }
+    service.meanFlowsPerWeight = weight > 0 ? flows / weight : 0;
+    service.meanFlows = count > 0 ? flows / static_cast<double>(count) : 0;
+}
+
+double LoadController::State::relativeLoad(ServiceState const& service, UpstreamState const& upstream) const
+{
+    if (service.meanFlowsPerWeight <= 0 || upstream.upstream.weight == 0)
+        return 1;
+    auto perWeight = static_cast<double>(fleetFlows(upstream)) / upstream.upstream.weight;
+    return perWeight / service.meanFlowsPerWeight * upstream.load.factor(service.meanUtilisation, now());
+}
+
+CandidateView LoadController::State::look(ServiceState& service, UpstreamState& upstream, bool isSpill)
+{
+    CandidateView view { .standing = Standing::Unusable };
+    if (!isUsable(service, upstream))
+        return view;
+    view.isInOwnZone = m_options.zone.isValid() && upstream.upstream.zone == m_options.zone;
+    view.relativeLoad = relativeLoad(service, upstream);
+    view.standing = Standing::Full;
+    if (upstream.flows.open() >= share(upstream))
+        return view;
+    auto rate = fairRate(service, upstream);
+    if (upstream.slowStart.isRunning(service.slowStart, now())) {
+        bool hasRoom = upstream.flows.openSinceStart() < rampShare(service, upstream)
+            && upstream.slowStart.canAdmit(rate, service.slowStart, now());
+        view.standing = hasRoom ? Standing::Starting : Standing::StartingFull;
+        return view;
+    }
+    view.standing = Standing::Free;
+    bool hasRate = service.opens.perSecond(now()).has_value();
+    if (isSpill && hasRate && !upstream.spill.has(rate, upstream.load.utilisation(now()), now()))
+        view.standing = Standing::SpillFull;
+    return view;
+}
+
+// Says whether trying again makes sense: allowances grow within seconds, limits and dead upstreams don't.
+Placement::Reason LoadController::State::refusalReason(
+    ServiceState& service, Placement::SelectionRequest const& request)
+{
+    if (!m_openers.isReady())
+        return Placement::Reason::Overloaded;
+    auto result = Placement::Reason::NoUpstream;
+    for (auto const* candidate : request.candidates) {
+        auto* upstream = find(candidate->id);
+        auto standing = upstream ? look(service, *upstream, true).standing : Standing::Unusable;
+        if (standing == Standing::StartingFull || standing == Standing::SpillFull)
+            return Placement::Reason::Overloaded;
+        if (standing == Standing::Full)
+            result = Placement::Reason::LimitReached;
+    }
+    return result;
+}
+
+Placement::Selection LoadController::State::select(Placement::SelectionRequest const& request)
+{
+    if (!m_guard.admitOpen(now()))
+        return { .index = std::nullopt, .refusal = Placement::Reason::Overloaded };
+    if (request.candidates.empty())
+        return { .index = std::nullopt, .refusal = Placement::Reason::NoUpstream };
+    auto position = m_services.find(request.service.id);
+    if (position == m_services.end())
+        return { .index = 0 };
+    auto& service = *position->second;
+    service.opens.count(now());
+    updateMeans(service);
+
+    auto view = [&](std::size_t index, bool isSpill) {
+        auto* upstream = find(request.candidates[index]->id);
+        return upstream ? look(service, *upstream, isSpill) : CandidateView {};
+    };
+    auto choice = service.choice.choose(request.candidates.size(), service.meanFlows, view);
+    if (!choice.index)
+        return { .index = std::nullopt, .refusal = refusalReason(service, request) };
+
+    auto* chosen = find(request.candidates[*choice.index]->id);
+    if (chosen) {
+        chosen->slowStart.admit(fairRate(service, *chosen), service.slowStart, now());
+        bool isSpill = choice.targetStanding == Standing::Unusable || choice.targetStanding == Standing::StartingFull;
+        if (isSpill)
+            chosen->spill.take();
+    }
+    return { .index = choice.index };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/LoadStateMessages.cpp
@@ -0,0 +1,228 @@
+// The part of LoadController::State that probes, publishes and receives.
+
+#include <LibLoad/LoadState.h>
+
+#include <limits>
+
+namespace Chicorytally::Load {
+
+static std::int64_t signedId(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+
+static std::int32_t milliseconds(std::chrono::nanoseconds duration)
+{
+    auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+std::vector<ProbeTarget> LoadController::State::probesDue()
+{
+    std::vector<ProbeTarget> result;
+    auto alive = m_openers.aliveVms();
+    for (auto& [id, upstream] : m_upstreams) {
+        if (upstream->upstream.healthUrl.empty() || upstream->isRemoved || upstream->nextProbe > now())
+            continue;
+        auto probers = probersOf(id, alive);
+        if (std::ranges::find(probers, m_options.self) == probers.end())
+            continue;
+        // The first probes are spread over an interval, so that they don't all fall into one tick.
+        bool isFirst = upstream->nextProbe == Core::TimePoint {};
+        auto phase = std::chrono::milliseconds { id.value() % static_cast<std::uint64_t>(ProbeInterval.count()) };
+        upstream->nextProbe = now() + (isFirst ? phase : ProbeInterval);
+        result.push_back({ .upstream = id, .url = upstream->upstream.healthUrl });
+    }
+    return result;
+}
+
+void LoadController::State::receive(Core::VmId sender, Messages::LoadMessage const& message)
+{
+    if (message.__isset.healthResults) {
+        receiveHealth(sender, message.healthResults);
+        return;
+    }
+    if (!message.__isset.upstreamCounts)
+        return;
+    auto const& counts = message.upstreamCounts;
+    if (counts.__isset.lostOpener) {
+        m_openers.hearLost(counts, now());
+        return;
+    }
+    m_openers.hear(sender, counts, now());
+    receiveStartAges(counts);
+}
+
+void LoadController::State::receiveStartAges(Messages::UpstreamCounts const& message)
+{
+    for (auto const& count : message.counts) {
+        auto* upstream = find(Core::UpstreamId { static_cast<std::uint64_t>(count.upstream) });
+        if (upstream && count.__isset.startAgeMilliseconds)
+            upstream->slowStart.hearAge(std::chrono::milliseconds { count.startAgeMilliseconds }, now());
+    }
+}
+
+static UpstreamReport reportOf(Messages::HealthResult const& result)
+{
+    UpstreamReport report { .isHealthy = result.healthy };
+    if (result.__isset.latencyMicroseconds)
+        report.latency = std::chrono::microseconds { result.latencyMicroseconds };
+    if (result.__isset.reportedConnections)
+        report.connections = static_cast<std::uint32_t>(std::max(0, result.reportedConnections));
+    if (result.__isset.reportedBusySlots)
+        report.busySlots = static_cast<std::uint32_t>(std::max(0, result.reportedBusySlots));
+    if (result.__isset.generation)
+        report.generation = result.generation;
+    if (result.__isset.ageMilliseconds)
+        report.age = std::chrono::milliseconds { std::max(0, result.ageMilliseconds) };
+    return report;
+}
+
+void LoadController::State::receiveHealth(Core::VmId sender, Messages::HealthResults const& message)
+{
+    for (auto const& result : message.results) {
+        auto* upstream = find(Core::UpstreamId { static_cast<std::uint64_t>(result.upstream) });
+        if (!upstream)
+            continue;
+        auto report = reportOf(result);
+        if (report.age < HealthTracker::VerdictLifetime)
+            upstream->health.hearVerdict(sender, report.isHealthy, now());
+        applyReport(*upstream, report);
+    }
+}
+
+static Messages::LoadMessage countsMessage(Messages::UpstreamCounts counts)
+{
+    Messages::LoadMessage message;
+    message.__set_upstreamCounts(std::move(counts));
+    return message;
+}
+
+void LoadController::State::addCounts(std::vector<Messages::LoadMessage>& messages, bool isFull)
+{
+    Messages::UpstreamCounts base;
+    base.__set_incarnation(signedId(m_options.incarnation.value()));
+    base.__set_order(++m_order);
+    std::vector<std::int64_t> openers;
+    for (auto id : m_openers.published())
+        openers.push_back(signedId(id.value()));
+    if (isFull)
+        base.__set_openers(openers);
+    auto part = base;
+    for (auto& [id, upstream] : m_upstreams) {
+        auto flows = upstream->flows.open();
+        if (!isFull && upstream->publishedFlows == flows)
+            continue;
+        Messages::UpstreamCount count;
+        count.upstream = signedId(id.value());
+        count.openFlows = static_cast<std::int32_t>(flows);
+        if (isFull)
+            count.__set_startAgeMilliseconds(milliseconds(upstream->slowStart.age(now())));
+        upstream->publishedFlows = flows;
+        part.counts.push_back(count);
+        if (part.counts.size() < EntriesPerMessage)
+            continue;
+        messages.push_back(countsMessage(std::move(part)));
+        part = base;
+    }
+    // A member without upstreams still has to confirm the others.
+    if (!part.counts.empty() || (isFull && messages.empty()))
+        messages.push_back(countsMessage(std::move(part)));
+}
+
+void LoadController::State::addLostCounts(std::vector<Messages::LoadMessage>& messages) const
+{
+    for (auto const& lost : m_openers.lostOpeners()) {
+        Messages::UpstreamCounts base;
+        base.__set_lostOpener(signedId(lost.id.value()));
+        base.__set_lostForMilliseconds(milliseconds(now() - lost.lostAt));
+        auto part = base;
+        for (auto const& [id, upstream] : m_upstreams) {
+            Messages::UpstreamCount count;
+            count.upstream = signedId(id.value());
+            auto bound = m_openers.lostBound(lost.id, id, upstream->upstream.maxConnections);
+            count.openFlows = static_cast<std::int32_t>(bound);
+            part.counts.push_back(count);
+            if (part.counts.size() < EntriesPerMessage)
+                continue;
+            messages.push_back(countsMessage(std::move(part)));
+            part = base;
+        }
+        if (!part.counts.empty())
+            messages.push_back(countsMessage(std::move(part)));
+    }
+}
+
+void LoadController::State::addHealth(std::vector<Messages::LoadMessage>& messages, bool isDue)
+{
+    Messages::HealthResults part;
+    auto flush = [&] {
+        if (part.results.empty())
+            return;
+        Messages::LoadMessage message;
+        message.__set_healthResults(std::move(part));
+        messages.push_back(std::move(message));
+        part = {};
+    };
+    for (auto& [id, upstream] : m_upstreams) {
+        auto verdict = upstream->health.verdictOf(m_options.self);
+        if (!verdict || !upstream->ownReport || now() - upstream->ownReportAt > HealthTracker::VerdictLifetime)
+            continue;
+        auto const& report = *upstream->ownReport;
+        bool isNews = verdict != upstream->publishedVerdict || report.generation != upstream->publishedGeneration;
+        if (!isDue && !isNews)
+            continue;
+        upstream->publishedVerdict = verdict;
+        upstream->publishedGeneration = report.generation;
+        Messages::HealthResult result;
+        result.upstream = signedId(id.value());
+        result.healthy = *verdict;
+        if (report.latency)
+            result.__set_latencyMicroseconds(static_cast<std::int32_t>(
+                std::min<std::int64_t>(report.latency->count(), std::numeric_limits<std::int32_t>::max())));
+        if (report.connections)
+            result.__set_reportedConnections(static_cast<std::int32_t>(*report.connections));
+        if (report.busySlots)
+            result.__set_reportedBusySlots(static_cast<std::int32_t>(*report.busySlots));
+        if (report.generation)
+            result.__set_generation(*report.generation);
+        result.__set_ageMilliseconds(milliseconds(report.age + (now() - upstream->ownReportAt)));
+        part.results.push_back(result);
+        if (part.results.size() >= EntriesPerMessage / 2)
+            flush();
+    }
+    flush();
+}
+
+std::vector<OutgoingMessage> LoadController::State::tick()
+{
+    forgetRemoved();
+    retireOrphans();
+    updateHealth();
+    for (auto& [id, service] : m_services)
+        updateService(*service);
+
+    std::vector<Messages::LoadMessage> messages;
+    // A changed set is published at once: added openers wait for it.
+    bool isFull = now() >= m_nextFullCounts || m_openers.version() != m_publishedVersion;
+    if (isFull) {
+        addCounts(messages, true);
+        addLostCounts(messages);
+        m_publishedVersion = m_openers.version();
+        m_nextFullCounts = now() + FullCountInterval;
+        m_nextCounts = now() + CountInterval;
+    } else if (now() >= m_nextCounts) {
+        addCounts(messages, false);
+        m_nextCounts = now() + CountInterval;
+    }
+    bool isHealthDue = now() >= m_nextHealth;
+    addHealth(messages, isHealthDue);
+    if (isHealthDue)
+        m_nextHealth = now() + HealthInterval;
+
+    std::vector<OutgoingMessage> result;
+    for (auto receiver : m_openers.receivers()) {
+        for (auto const& message : messages)
+            result.push_back({ .receiver = receiver, .message = message });
+    }
+    return result;
+}
+
+}
--- a/Libraries/LibLoad/LoadTypes.h
+++ b/Libraries/LibLoad/LoadTypes.h
@@ -37,8 +37,6 @@
     Core::Incarnation incarnation;
     /// Opens per second over which the balancer refuses new flows; 0: no limit.
     std::uint32_t maxOpensPerSecond { 0 };
-    /// Greatest number of opens that no later packet has confirmed yet.
-    std::uint32_t maxUnconfirmedOpens { 65'536 };
     /// Greatest number of upstreams whose state is held; further ones are used without load information.
     std::uint32_t maxUpstreams { 20'000 };
 };
@@ -107,7 +105,6 @@
 struct ControllerStatus {
     /// Members that haven't confirmed yet that they count this VM as an opener; until none is left, shares are 0.
     std::vector<Core::VmId> unconfirmedBy;
-    std::uint32_t unconfirmedOpens { 0 };
     bool isOverloaded { false };
 };
 
--- /dev/null
+++ b/Libraries/LibLoad/OpenRate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <chrono>
+#include <cmath>
+#include <optional>
+
+namespace Chicorytally::Load {
+
+/// Exponentially weighted rate of events, corrected for the time before the first one. Not thread-safe.
+class OpenRate {
+public:
+    static constexpr std::chrono::seconds TimeConstant { 20 };
+    /// Before this time the rate says nothing.
+    static constexpr std::chrono::seconds SettlingTime { 3 };
+
+    void count(Core::TimePoint now)
+    {
+        if (!m_first)
+            m_first = now;
+        decay(now);
+        m_sum += 1;
+    }
+
+    /// Events per second; without a value until events were seen for the settling time.
+    std::optional<double> perSecond(Core::TimePoint now) const
+    {
+        if (!m_first || now - *m_first < SettlingTime)
+            return std::nullopt;
+        std::chrono::duration<double> age = now - *m_first;
+        std::chrono::duration<double> sinceLast = now - m_last;
+        auto timeConstant = std::chrono::duration<double>(TimeConstant).count();
+        auto seen = timeConstant * (1 - std::exp(-age.count() / timeConstant));
+        return m_sum * std::exp(-sinceLast.count() / timeConstant) / seen;
+    }
+
+private:
+    void decay(Core::TimePoint now)
+    {
+        std::chrono::duration<double> elapsed = now - m_last;
+        m_sum *= std::exp(-elapsed.count() / std::chrono::duration<double>(TimeConstant).count());
+        m_last = now;
+    }
+
+    std::optional<Core::TimePoint> m_first;
+    Core::TimePoint m_last;
+    double m_sum { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/OpenerSet.cpp
@@ -0,0 +1,333 @@
+#include <LibLoad/OpenerSet.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Load {
+
+OpenerSet::OpenerSet(Core::VmId self, Core::Incarnation incarnation)
+    : m_self(openerId(self, incarnation))
+    , m_selfVm(self)
+{
+}
+
+OpenerSet::Opener* OpenerSet::add(Core::VmId vm, Core::Incarnation incarnation)
+{
+    auto id = openerId(vm, incarnation);
+    auto position = m_openers.find(id);
+    if (position != m_openers.end()) {
+        if (!position->second.vm.isValid()) {
+            position->second.vm = vm;
+            position->second.incarnation = incarnation;
+        }
+        return &position->second;
+    }
+    // A member without an incarnation is one that was only listed; it gives way to the process that is known now.
+    if (incarnation.isValid())
+        m_openers.erase(openerId(vm, Core::Incarnation {}));
+    auto& opener = m_openers[id];
+    opener.vm = vm;
+    opener.incarnation = incarnation;
+    ++m_version;
+    return &opener;
+}
+
+void OpenerSet::lose(Opener& opener, Core::TimePoint now)
+{
+    if (opener.state == State::Lost)
+        return;
+    opener.state = State::Lost;
+    opener.lostAt = now;
+    ++m_version;
+}
+
+void OpenerSet::loseEarlierIncarnations(Core::VmId vm, Core::Incarnation incarnation, Core::TimePoint now)
+{
+    for (auto& [id, opener] : m_openers) {
+        if (opener.vm == vm && opener.incarnation < incarnation)
+            lose(opener, now);
+    }
+}
+
+void OpenerSet::applyMembers(std::vector<LoadMember> const& members, Core::TimePoint now)
+{
+    m_hasMembers = true;
+    for (auto& [id, opener] : m_openers) {
+        if (opener.state == State::Alive)
+            opener.state = State::Unreachable;
+    }
+    for (auto const& member : members) {
+        auto id = openerId(member.vm, member.incarnation);
+        if (member.vm == m_selfVm || m_forgotten.contains(id))
+            continue;
+        bool hasLater = std::ranges::any_of(m_openers, [&](auto const& entry) {
+            return entry.second.vm == member.vm && entry.second.incarnation > member.incarnation;
+        });
+        // A late entry, for example of the platform's VM list, says nothing about the process that runs now.
+        if (hasLater)
+            continue;
+        bool isEnd = member.status == MemberStatus::Left || member.status == MemberStatus::Gone;
+        auto& opener = *add(member.vm, member.incarnation);
+        // What is known to be gone is never brought back by a list; only a message of its own proves that it lives.
+        if (opener.state == State::Lost)
+            continue;
+        if (isEnd)
+            lose(opener, now);
+        else
+            opener.state = member.status == MemberStatus::Alive ? State::Alive : State::Unreachable;
+        loseEarlierIncarnations(member.vm, member.incarnation, now);
+    }
+    updateReady();
+}
+
+void OpenerSet::hear(Core::VmId sender, Messages::UpstreamCounts const& message, Core::TimePoint now)
+{
+    if (sender == m_selfVm)
+        return;
+    Core::Incarnation incarnation { static_cast<std::uint64_t>(message.incarnation) };
+    m_forgotten.erase(openerId(sender, incarnation));
+    auto& opener = *add(sender, incarnation);
+    if (opener.state != State::Alive && opener.state != State::Unreachable) {
+        opener.state = State::Alive;
+        opener.retired.clear();
+        ++m_version;
+    }
+    loseEarlierIncarnations(sender, incarnation, now);
+    if (message.order < opener.order)
+        return;
+    opener.order = message.order;
+    if (message.__isset.openers) {
+        opener.mentions.clear();
+        for (auto id : message.openers)
+            opener.mentions.insert(OpenerId { static_cast<std::uint64_t>(id) });
+        opener.setSize = static_cast<std::uint32_t>(message.openers.size());
+        opener.hasConfirmed = opener.hasConfirmed || opener.mentions.contains(m_self);
+    }
+    for (auto const& count : message.counts) {
+        auto flows = static_cast<std::uint32_t>(std::max(0, count.openFlows));
+        opener.counts[Core::UpstreamId { static_cast<std::uint64_t>(count.upstream) }] = flows;
+    }
+    updateMentioned();
+    updateReady();
+}
+
+void OpenerSet::hearLost(Messages::UpstreamCounts const& message, Core::TimePoint now)
+{
+    OpenerId id { static_cast<std::uint64_t>(message.lostOpener) };
+    if (id == m_self || m_forgotten.contains(id))
+        return;
+    auto& opener = m_openers[id];
+    bool isKnown = opener.vm.isValid() && opener.state != State::Mentioned;
+    // Whether a member that this VM knows itself is gone is decided by its own evidence, and its own last message says
+    // more about its flows than what others make of it.
+    if (isKnown && (opener.state != State::Lost || opener.setSize > 0))
+        return;
+    auto lostAt = now - std::chrono::milliseconds { message.lostForMilliseconds };
+    opener.lostAt = opener.state == State::Lost ? std::max(opener.lostAt, lostAt) : lostAt;
+    opener.state = State::Lost;
+    for (auto const& count : message.counts) {
+        auto& known = opener.counts[Core::UpstreamId { static_cast<std::uint64_t>(count.upstream) }];
+        known = std::max(known, static_cast<std::uint32_t>(std::max(0, count.openFlows)));
+    }
+    ++m_version;
+    updateReady();
+}
+
+// An opener that only others know counts as well, until none of them names it any more.
+void OpenerSet::updateMentioned()
+{
+    absl::flat_hash_set<OpenerId> named;
+    for (auto const& [id, opener] : m_openers) {
+        if (opener.state == State::Alive || opener.state == State::Unreachable)
+            named.insert(opener.mentions.begin(), opener.mentions.end());
+    }
+    for (auto id : named) {
+        if (id == m_self || m_forgotten.contains(id) || m_openers.contains(id))
+            continue;
+        m_openers[id].state = State::Mentioned;
+        ++m_version;
+    }
+    auto removed = std::erase_if(m_openers,
+        [&](auto const& entry) { return entry.second.state == State::Mentioned && !named.contains(entry.first); });
+    if (removed > 0)
+        ++m_version;
+}
+
+void OpenerSet::updateReady()
+{
+    auto isConfirmed = [](auto const& entry) { return entry.second.state == State::Lost || entry.second.hasConfirmed; };
+    m_isReady = m_isReady || (m_hasMembers && std::ranges::all_of(m_openers, isConfirmed));
+}
+
+void OpenerSet::retireLost(std::vector<Core::UpstreamId> const& upstreams,
+    std::function<bool(Core::UpstreamId, Core::TimePoint lostAt)> const& hasEnded)
+{
+    for (auto position = m_openers.begin(); position != m_openers.end();) {
+        auto& opener = position->second;
+        bool isAllRetired = opener.state == State::Lost;
+        for (auto upstream : upstreams) {
+            if (opener.state != State::Lost || opener.retired.contains(upstream))
+                continue;
+            if (!hasEnded(upstream, opener.lostAt)) {
+                isAllRetired = false;
+                continue;
+            }
+            opener.retired.insert(upstream);
+            ++m_version;
+        }
+        if (isAllRetired)
+            m_forgotten.insert(position->first);
+        position = isAllRetired ? m_openers.erase(position) : std::next(position);
+    }
+}
+
+std::vector<Core::VmId> OpenerSet::unconfirmedBy() const
+{
+    std::vector<Core::VmId> result;
+    if (m_isReady)
+        return result;
+    for (auto const& [id, opener] : m_openers) {
+        if (opener.state != State::Lost && !opener.hasConfirmed)
+            result.push_back(opener.vm);
+    }
+    return result;
+}
+
+std::vector<OpenerId> OpenerSet::published() const
+{
+    std::vector<OpenerId> result { m_self };
+    for (auto const& [id, opener] : m_openers) {
+        // Two openers that know a third one only from each other would otherwise keep it for ever.
+        if (opener.state != State::Mentioned)
+            result.push_back(id);
+    }
+    return result;
+}
+
+std::vector<Core::VmId> OpenerSet::receivers() const
+{
+    std::vector<Core::VmId> result;
+    for (auto const& [id, opener] : m_openers) {
+        if (opener.state == State::Alive || opener.state == State::Unreachable)
+            result.push_back(opener.vm);
+    }
+    return result;
+}
+
+std::vector<Core::VmId> OpenerSet::aliveVms() const
+{
+    std::vector<Core::VmId> result { m_selfVm };
+    for (auto const& [id, opener] : m_openers) {
+        if (opener.state == State::Alive)
+            result.push_back(opener.vm);
+    }
+    return result;
+}
+
+bool OpenerSet::countsFor(Opener const& opener, Core::UpstreamId upstream)
+{
+    return opener.state != State::Lost || !opener.retired.contains(upstream);
+}
+
+std::vector<OpenerId> OpenerSet::openersOf(Core::UpstreamId upstream, bool withLost) const
+{
+    std::vector<OpenerId> result { m_self };
+    for (auto const& [id, opener] : m_openers) {
+        if (withLost ? countsFor(opener, upstream) : opener.state != State::Lost)
+            result.push_back(id);
+    }
+    return result;
+}
+
+OpenerSet::CachedRank const& OpenerSet::ranks(Core::UpstreamId upstream) const
+{
+    auto& cached = m_ranks[upstream];
+    if (cached.version == m_version)
+        return cached;
+    cached.withLost = shareRank(openersOf(upstream, true), m_self, upstream);
+    cached.living = shareRank(openersOf(upstream, false), m_self, upstream);
+    cached.version = m_version;
+    return cached;
+}
+
+std::uint32_t OpenerSet::ownShare(Core::UpstreamId upstream, std::uint32_t limit, bool withLost) const
+{
+    auto const& cached = ranks(upstream);
+    return shareOf(limit, withLost ? cached.withLost : cached.living);
+}
+
+std::optional<std::uint32_t> OpenerSet::overhang(Core::UpstreamId upstream, std::uint32_t limit) const
+{
+    auto openers = openersOf(upstream, true);
+    std::uint32_t sum = 0;
+    for (auto const& [id, opener] : m_openers) {
+        if (!countsFor(opener, upstream))
+            continue;
+        auto position = opener.counts.find(upstream);
+        if (position == opener.counts.end() && opener.state != State::Lost)
+            return std::nullopt;
+        auto flows = opener.state == State::Lost ? lostBound(id, upstream, limit) : position->second;
+        auto share = shareOf(limit, shareRank(openers, id, upstream));
+        sum += flows > share ? flows - share : 0;
+    }
+    return sum;
+}
+
+bool OpenerSet::hasLost(Core::UpstreamId upstream) const
+{
+    return std::ranges::any_of(m_openers,
+        [&](auto const& entry) { return entry.second.state == State::Lost && countsFor(entry.second, upstream); });
+}
+
+static std::uint32_t countOf(absl::flat_hash_map<Core::UpstreamId, std::uint32_t> const& counts, Core::UpstreamId id)
+{
+    auto position = counts.find(id);
+    return position != counts.end() ? position->second : 0;
+}
+
+std::uint32_t OpenerSet::livingFlows(Core::UpstreamId upstream) const
+{
+    std::uint32_t sum = 0;
+    for (auto const& [id, opener] : m_openers)
+        sum += opener.state != State::Lost ? countOf(opener.counts, upstream) : 0;
+    return sum;
+}
+
+std::uint32_t OpenerSet::lostFlows(Core::UpstreamId upstream) const
+{
+    std::uint32_t sum = 0;
+    for (auto const& [id, opener] : m_openers)
+        sum += opener.state == State::Lost && countsFor(opener, upstream) ? countOf(opener.counts, upstream) : 0;
+    return sum;
+}
+
+std::uint32_t OpenerSet::othersFlows(Core::UpstreamId upstream) const
+{
+    return livingFlows(upstream) + lostFlows(upstream);
+}
+
+std::vector<OpenerSet::LostOpener> OpenerSet::lostOpeners() const
+{
+    std::vector<LostOpener> result;
+    for (auto const& [id, opener] : m_openers) {
+        if (opener.state == State::Lost)
+            result.push_back({ .id = id, .lostAt = opener.lostAt });
+    }
+    return result;
+}
+
+std::uint32_t OpenerSet::lostBound(OpenerId id, Core::UpstreamId upstream, std::uint32_t limit) const
+{
+    auto position = m_openers.find(id);
+    if (position == m_openers.end())
+        return 0;
+    auto const& opener = position->second;
+    // After its last message the opener may have filled its share.
+    auto setSize = opener.setSize;
+    // Without any word of its flows it may have held a share of the set without this opener.
+    if (setSize == 0 && !opener.counts.contains(upstream))
+        setSize = static_cast<std::uint32_t>(m_openers.size());
+    auto greatestShare = setSize > 0 ? (limit + setSize - 1) / setSize : 0;
+    return std::max(countOf(opener.counts, upstream), greatestShare);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/ShareRule.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <cstdint>
+#include <span>
+
+namespace Chicorytally::Load {
+
+/// One lifetime of a process that opens flows. A restarted process is another opener, because it doesn't know the flows
+/// of the earlier one.
+using OpenerId = Core::Id<struct OpenerTag>;
+
+OpenerId openerId(Core::VmId, Core::Incarnation);
+
+/// Where an opener stands among all openers of an upstream.
+struct ShareRank {
+    std::uint32_t openers { 1 };
+    /// Rendezvous rank, 0 first.
+    std::uint32_t rank { 0 };
+};
+
+/// The rank of an opener among a set that contains it.
+ShareRank shareRank(std::span<OpenerId const> openers, OpenerId, Core::UpstreamId);
+
+/// The part of a limit that an opener may use: floor(limit / openers), with the remainder given out by rank. Over all
+/// openers the parts add up to the limit. A part never shrinks when another opener leaves the set, so openers whose
+/// views differ stay below the limit as long as each view contains all real openers.
+std::uint32_t shareOf(std::uint32_t limit, ShareRank);
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/SlowStart.cpp
@@ -0,0 +1,146 @@
+#include <LibLoad/SlowStart.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Load {
+
+std::string_view toString(StartCause cause)
+{
+    switch (cause) {
+    case StartCause::FirstSight:
+        return "first sight";
+    case StartCause::Added:
+        return "added";
+    case StartCause::NewGeneration:
+        return "new generation";
+    case StartCause::ReturnedHealthy:
+        return "healthy again";
+    case StartCause::ZoneReturned:
+        return "availability zone in again";
+    case StartCause::LatencyJump:
+        return "latency jump";
+    }
+    return "unknown";
+}
+
+SlowStart::SlowStart(StartCause cause, Core::TimePoint now)
+    : m_cause(cause)
+    , m_start(now)
+    , m_opens(1)
+{
+}
+
+void SlowStart::begin(StartCause cause, Core::TimePoint now)
+{
+    m_cause = cause;
+    m_start = now;
+    m_opens = TokenBucket { 1 };
+}
+
+void SlowStart::hearAge(std::chrono::milliseconds age, Core::TimePoint now)
+{
+    // Only a guess is replaced by an earlier start: a peer that missed a restart would end the ramp too soon.
+    if (m_cause != StartCause::FirstSight)
+        return;
+    m_start = std::min(m_start, now - age);
+}
+
+void SlowStart::hearLoad(double fractionOfLimit, std::chrono::seconds duration, Core::TimePoint now)
+{
+    if (m_cause != StartCause::FirstSight || fractionOfLimit <= FirstFraction)
+        return;
+    auto part = std::min(1.0, (fractionOfLimit - FirstFraction) / (1 - FirstFraction));
+    auto age = std::chrono::duration_cast<std::chrono::nanoseconds>(part * duration);
+    m_start = std::min(m_start, now - age);
+}
+
+std::chrono::milliseconds SlowStart::age(Core::TimePoint now) const
+{
+    constexpr std::chrono::hours GreatestAge { 24 };
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_start);
+    return std::min<std::chrono::milliseconds>(age, GreatestAge);
+}
+
+double SlowStart::fraction(std::chrono::seconds duration, Core::TimePoint now) const
+{
+    if (now - m_start >= duration)
+        return 1;
+    std::chrono::duration<double> age = now - m_start;
+    std::chrono::duration<double> whole = duration;
+    return FirstFraction + (1 - FirstFraction) * age.count() / whole.count();
+}
+
+std::uint32_t SlowStart::limitAt(double fraction, std::uint32_t limit)
+{
+    if (limit == 0)
+        return 0;
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(fraction * limit));
+}
+
+bool SlowStart::canAdmit(double fairRate, std::chrono::seconds duration, Core::TimePoint now)
+{
+    if (!isRateLimited() || !isRunning(duration, now))
+        return true;
+    auto rate = std::max(LeastRate, fraction(duration, now) * fairRate);
+    m_opens.refill(rate, std::max(1.0, rate * BurstSeconds), now);
+    return m_opens.has();
+}
+
+bool SlowStart::admit(double fairRate, std::chrono::seconds duration, Core::TimePoint now)
+{
+    if (!canAdmit(fairRate, duration, now))
+        return false;
+    if (isRateLimited() && isRunning(duration, now))
+        m_opens.take();
+    return true;
+}
+
+bool StartDetector::recordGeneration(std::int64_t generation)
+{
+    // A late report of the earlier generation is no second start.
+    if (generation == m_earlierGeneration)
+        return false;
+    if (generation == m_generation) {
+        ++m_confirmations;
+        return false;
+    }
+    bool isStart = m_generation.has_value();
+    m_earlierGeneration = m_generation;
+    m_generation = generation;
+    m_confirmations = 1;
+    return isStart;
+}
+
+bool StartDetector::recordLatency(std::chrono::microseconds latency)
+{
+    constexpr double Gain = 0.1;
+    constexpr int SettledReports = 10;
+    auto value = static_cast<double>(latency.count());
+    bool isSlow = m_usualLatency && m_latencyReports >= SettledReports && value > LatencyFactor * *m_usualLatency;
+    m_slowReports = isSlow ? m_slowReports + 1 : 0;
+    if (m_slowReports >= LatencyReports) {
+        // The slow latency becomes the usual one, so that an upstream that stays slow ramps up once and not for ever.
+        m_usualLatency = value;
+        m_slowReports = 0;
+        return true;
+    }
+    if (isSlow)
+        return false;
+    m_usualLatency = m_usualLatency ? *m_usualLatency + Gain * (value - *m_usualLatency) : value;
+    ++m_latencyReports;
+    return false;
+}
+
+std::optional<StartCause> StartDetector::record(
+    std::optional<std::int64_t> generation, std::optional<std::chrono::microseconds> latency)
+{
+    bool isNewGeneration = generation && recordGeneration(*generation);
+    bool isLatencyJump = latency && recordLatency(*latency);
+    if (isNewGeneration)
+        return StartCause::NewGeneration;
+    if (isLatencyJump)
+        return StartCause::LatencyJump;
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/TokenBucket.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+namespace Chicorytally::Load {
+
+/// Admits events up to a rate, with a reserve for short bursts. Starts full. Not thread-safe.
+class TokenBucket {
+public:
+    explicit TokenBucket(double tokens = 0)
+        : m_tokens(tokens)
+    {
+    }
+
+    void refill(double perSecond, double capacity, Core::TimePoint now)
+    {
+        if (m_refilled) {
+            std::chrono::duration<double> elapsed = now - *m_refilled;
+            m_tokens += perSecond * std::max(0.0, elapsed.count());
+        }
+        m_refilled = now;
+        m_tokens = std::min(m_tokens, capacity);
+    }
+
+    void add(double tokens, double capacity) { m_tokens = std::min(m_tokens + tokens, capacity); }
+    bool has(double tokens = 1) const { return m_tokens >= tokens; }
+
+    bool take(double tokens = 1)
+    {
+        if (!has(tokens))
+            return false;
+        m_tokens -= tokens;
+        return true;
+    }
+
+    double tokens() const { return m_tokens; }
+
+private:
+    double m_tokens;
+    std::optional<Core::TimePoint> m_refilled;
+};
+
+}
--- a/Libraries/LibMessages/gen/load_types.cpp
+++ b/Libraries/LibMessages/gen/load_types.cpp
@@ -25,6 +25,11 @@
 void UpstreamCount::__set_openFlows(const int32_t val) {
   this->openFlows = val;
 }
+
+void UpstreamCount::__set_startAgeMilliseconds(const int32_t val) {
+  this->startAgeMilliseconds = val;
+__isset.startAgeMilliseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamCount& obj)
 {
   obj.printTo(out);
@@ -71,6 +76,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->startAgeMilliseconds);
+          this->__isset.startAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -100,6 +113,11 @@
   xfer += oprot->writeI32(this->openFlows);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.startAgeMilliseconds) {
+    xfer += oprot->writeFieldBegin("startAgeMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->startAgeMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -109,24 +127,34 @@
   using ::std::swap;
   swap(a.upstream, b.upstream);
   swap(a.openFlows, b.openFlows);
+  swap(a.startAgeMilliseconds, b.startAgeMilliseconds);
+  swap(a.__isset, b.__isset);
 }
 
 UpstreamCount::UpstreamCount(const UpstreamCount& other0) noexcept {
   upstream = other0.upstream;
   openFlows = other0.openFlows;
+  startAgeMilliseconds = other0.startAgeMilliseconds;
+  __isset = other0.__isset;
 }
 UpstreamCount::UpstreamCount(UpstreamCount&& other1) noexcept {
   upstream = other1.upstream;
   openFlows = other1.openFlows;
+  startAgeMilliseconds = other1.startAgeMilliseconds;
+  __isset = other1.__isset;
 }
 UpstreamCount& UpstreamCount::operator=(const UpstreamCount& other2) noexcept {
   upstream = other2.upstream;
   openFlows = other2.openFlows;
+  startAgeMilliseconds = other2.startAgeMilliseconds;
+  __isset = other2.__isset;
   return *this;
 }
 UpstreamCount& UpstreamCount::operator=(UpstreamCount&& other3) noexcept {
   upstream = other3.upstream;
   openFlows = other3.openFlows;
+  startAgeMilliseconds = other3.startAgeMilliseconds;
+  __isset = other3.__isset;
   return *this;
 }
 void UpstreamCount::printTo(std::ostream& out) const {
@@ -134,6 +162,7 @@
   out << "UpstreamCount(";
   out << "upstream=" << to_string(upstream);
   out << ", " << "openFlows=" << to_string(openFlows);
+  out << ", " << "startAgeMilliseconds="; (__isset.startAgeMilliseconds ? (out << to_string(startAgeMilliseconds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -145,6 +174,31 @@
 void UpstreamCounts::__set_counts(const std::vector<UpstreamCount> & val) {
   this->counts = val;
 }
+
+void UpstreamCounts::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+__isset.incarnation = true;
+}
+
+void UpstreamCounts::__set_openers(const std::vector<int64_t> & val) {
+  this->openers = val;
+__isset.openers = true;
+}
+
+void UpstreamCounts::__set_lostOpener(const int64_t val) {
+  this->lostOpener = val;
+__isset.lostOpener = true;
+}
+
+void UpstreamCounts::__set_lostForMilliseconds(const int32_t val) {
+  this->lostForMilliseconds = val;
+__isset.lostForMilliseconds = true;
+}
+
+void UpstreamCounts::__set_order(const int64_t val) {
+  this->order = val;
+__isset.order = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamCounts& obj)
 {
   obj.printTo(out);
@@ -194,6 +248,58 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->openers.clear();
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->openers.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
+            {
+              xfer += iprot->readI64(this->openers[_i13]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.openers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lostOpener);
+          this->__isset.lostOpener = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lostForMilliseconds);
+          this->__isset.lostForMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -216,15 +322,48 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<UpstreamCount> ::const_iterator _iter9;
-    for (_iter9 = this->counts.begin(); _iter9 != this->counts.end(); ++_iter9)
+    std::vector<UpstreamCount> ::const_iterator _iter14;
+    for (_iter14 = this->counts.begin(); _iter14 != this->counts.end(); ++_iter14)
     {
-      xfer += (*_iter9).write(oprot);
+      xfer += (*_iter14).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.openers) {
+    xfer += oprot->writeFieldBegin("openers", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->openers.size()));
+      std::vector<int64_t> ::const_iterator _iter15;
+      for (_iter15 = this->openers.begin(); _iter15 != this->openers.end(); ++_iter15)
+      {
+        xfer += oprot->writeI64((*_iter15));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lostOpener) {
+    xfer += oprot->writeFieldBegin("lostOpener", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->lostOpener);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lostForMilliseconds) {
+    xfer += oprot->writeFieldBegin("lostForMilliseconds", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->lostForMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.order) {
+    xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->order);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -233,26 +372,61 @@
 void swap(UpstreamCounts &a, UpstreamCounts &b) {
   using ::std::swap;
   swap(a.counts, b.counts);
+  swap(a.incarnation, b.incarnation);
+  swap(a.openers, b.openers);
+  swap(a.lostOpener, b.lostOpener);
+  swap(a.lostForMilliseconds, b.lostForMilliseconds);
+  swap(a.order, b.order);
+  swap(a.__isset, b.__isset);
 }
 
-UpstreamCounts::UpstreamCounts(const UpstreamCounts& other10) {
-  counts = other10.counts;
+UpstreamCounts::UpstreamCounts(const UpstreamCounts& other16) {
+  counts = other16.counts;
+  incarnation = other16.incarnation;
+  openers = other16.openers;
+  lostOpener = other16.lostOpener;
+  lostForMilliseconds = other16.lostForMilliseconds;
+  order = other16.order;
+  __isset = other16.__isset;
 }
-UpstreamCounts::UpstreamCounts(UpstreamCounts&& other11) noexcept {
-  counts = std::move(other11.counts);
+UpstreamCounts::UpstreamCounts(UpstreamCounts&& other17) noexcept {
+  counts = std::move(other17.counts);
+  incarnation = other17.incarnation;
+  openers = std::move(other17.openers);
+  lostOpener = other17.lostOpener;
+  lostForMilliseconds = other17.lostForMilliseconds;
+  order = other17.order;
+  __isset = other17.__isset;
 }
-UpstreamCounts& UpstreamCounts::operator=(const UpstreamCounts& other12) {
-  counts = other12.counts;
+UpstreamCounts& UpstreamCounts::operator=(const UpstreamCounts& other18) {
+  counts = other18.counts;
+  incarnation = other18.incarnation;
+  openers = other18.openers;
+  lostOpener = other18.lostOpener;
+  lostForMilliseconds = other18.lostForMilliseconds;
+  order = other18.order;
+  __isset = other18.__isset;
   return *this;
 }
-UpstreamCounts& UpstreamCounts::operator=(UpstreamCounts&& other13) noexcept {
-  counts = std::move(other13.counts);
+UpstreamCounts& UpstreamCounts::operator=(UpstreamCounts&& other19) noexcept {
+  counts = std::move(other19.counts);
+  incarnation = other19.incarnation;
+  openers = std::move(other19.openers);
+  lostOpener = other19.lostOpener;
+  lostForMilliseconds = other19.lostForMilliseconds;
+  order = other19.order;
+  __isset = other19.__isset;
   return *this;
 }
 void UpstreamCounts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "UpstreamCounts(";
   out << "counts=" << to_string(counts);
+  out << ", " << "incarnation="; (__isset.incarnation ? (out << to_string(incarnation)) : (out << "<null>"));
+  out << ", " << "openers="; (__isset.openers ? (out << to_string(openers)) : (out << "<null>"));
+  out << ", " << "lostOpener="; (__isset.lostOpener ? (out << to_string(lostOpener)) : (out << "<null>"));
+  out << ", " << "lostForMilliseconds="; (__isset.lostForMilliseconds ? (out << to_string(lostForMilliseconds)) : (out << "<null>"));
+  out << ", " << "order="; (__isset.order ? (out << to_string(order)) : (out << "<null>"));
   out << ")";
 }
 
@@ -450,46 +624,46 @@
   swap(a.__isset, b.__isset);
 }
 
-HealthResult::HealthResult(const HealthResult& other14) noexcept {
-  upstream = other14.upstream;
-  healthy = other14.healthy;
-  latencyMicroseconds = other14.latencyMicroseconds;
-  reportedConnections = other14.reportedConnections;
-  reportedBusySlots = other14.reportedBusySlots;
-  generation = other14.generation;
-  ageMilliseconds = other14.ageMilliseconds;
-  __isset = other14.__isset;
-}
-HealthResult::HealthResult(HealthResult&& other15) noexcept {
-  upstream = other15.upstream;
-  healthy = other15.healthy;
-  latencyMicroseconds = other15.latencyMicroseconds;
-  reportedConnections = other15.reportedConnections;
-  reportedBusySlots = other15.reportedBusySlots;
-  generation = other15.generation;
-  ageMilliseconds = other15.ageMilliseconds;
-  __isset = other15.__isset;
-}
-HealthResult& HealthResult::operator=(const HealthResult& other16) noexcept {
-  upstream = other16.upstream;
-  healthy = other16.healthy;
-  latencyMicroseconds = other16.latencyMicroseconds;
-  reportedConnections = other16.reportedConnections;
-  reportedBusySlots = other16.reportedBusySlots;
-  generation = other16.generation;
-  ageMilliseconds = other16.ageMilliseconds;
-  __isset = other16.__isset;
+HealthResult::HealthResult(const HealthResult& other20) noexcept {
+  upstream = other20.upstream;
+  healthy = other20.healthy;
+  latencyMicroseconds = other20.latencyMicroseconds;
+  reportedConnections = other20.reportedConnections;
+  reportedBusySlots = other20.reportedBusySlots;
+  generation = other20.generation;
+  ageMilliseconds = other20.ageMilliseconds;
+  __isset = other20.__isset;
+}
+HealthResult::HealthResult(HealthResult&& other21) noexcept {
+  upstream = other21.upstream;
+  healthy = other21.healthy;
+  latencyMicroseconds = other21.latencyMicroseconds;
+  reportedConnections = other21.reportedConnections;
+  reportedBusySlots = other21.reportedBusySlots;
+  generation = other21.generation;
+  ageMilliseconds = other21.ageMilliseconds;
+  __isset = other21.__isset;
+}
+HealthResult& HealthResult::operator=(const HealthResult& other22) noexcept {
+  upstream = other22.upstream;
+  healthy = other22.healthy;
+  latencyMicroseconds = other22.latencyMicroseconds;
+  reportedConnections = other22.reportedConnections;
+  reportedBusySlots = other22.reportedBusySlots;
+  generation = other22.generation;
+  ageMilliseconds = other22.ageMilliseconds;
+  __isset = other22.__isset;
   return *this;
 }
-HealthResult& HealthResult::operator=(HealthResult&& other17) noexcept {
-  upstream = other17.upstream;
-  healthy = other17.healthy;
-  latencyMicroseconds = other17.latencyMicroseconds;
-  reportedConnections = other17.reportedConnections;
-  reportedBusySlots = other17.reportedBusySlots;
-  generation = other17.generation;
-  ageMilliseconds = other17.ageMilliseconds;
-  __isset = other17.__isset;
+HealthResult& HealthResult::operator=(HealthResult&& other23) noexcept {
+  upstream = other23.upstream;
+  healthy = other23.healthy;
+  latencyMicroseconds = other23.latencyMicroseconds;
+  reportedConnections = other23.reportedConnections;
+  reportedBusySlots = other23.reportedBusySlots;
+  generation = other23.generation;
+  ageMilliseconds = other23.ageMilliseconds;
+  __isset = other23.__isset;
   return *this;
 }
 void HealthResult::printTo(std::ostream& out) const {
@@ -546,14 +720,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->results.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->results.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->results[_i22].read(iprot);
+              xfer += this->results[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -584,10 +758,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<HealthResult> ::const_iterator _iter23;
-    for (_iter23 = this->results.begin(); _iter23 != this->results.end(); ++_iter23)
+    std::vector<HealthResult> ::const_iterator _iter29;
+    for (_iter29 = this->results.begin(); _iter29 != this->results.end(); ++_iter29)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -603,18 +777,18 @@
   swap(a.results, b.results);
 }
 
-HealthResults::HealthResults(const HealthResults& other24) {
-  results = other24.results;
+HealthResults::HealthResults(const HealthResults& other30) {
+  results = other30.results;
 }
-HealthResults::HealthResults(HealthResults&& other25) noexcept {
-  results = std::move(other25.results);
+HealthResults::HealthResults(HealthResults&& other31) noexcept {
+  results = std::move(other31.results);
 }
-HealthResults& HealthResults::operator=(const HealthResults& other26) {
-  results = other26.results;
+HealthResults& HealthResults::operator=(const HealthResults& other32) {
+  results = other32.results;
   return *this;
 }
-HealthResults& HealthResults::operator=(HealthResults&& other27) noexcept {
-  results = std::move(other27.results);
+HealthResults& HealthResults::operator=(HealthResults&& other33) noexcept {
+  results = std::move(other33.results);
   return *this;
 }
 void HealthResults::printTo(std::ostream& out) const {
@@ -721,26 +895,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadMessage::LoadMessage(const LoadMessage& other28) {
-  upstreamCounts = other28.upstreamCounts;
-  healthResults = other28.healthResults;
-  __isset = other28.__isset;
+LoadMessage::LoadMessage(const LoadMessage& other34) {
+  upstreamCounts = other34.upstreamCounts;
+  healthResults = other34.healthResults;
+  __isset = other34.__isset;
 }
-LoadMessage::LoadMessage(LoadMessage&& other29) noexcept {
-  upstreamCounts = std::move(other29.upstreamCounts);
-  healthResults = std::move(other29.healthResults);
-  __isset = other29.__isset;
+LoadMessage::LoadMessage(LoadMessage&& other35) noexcept {
+  upstreamCounts = std::move(other35.upstreamCounts);
+  healthResults = std::move(other35.healthResults);
+  __isset = other35.__isset;
 }
-LoadMessage& LoadMessage::operator=(const LoadMessage& other30) {
-  upstreamCounts = other30.upstreamCounts;
-  healthResults = other30.healthResults;
-  __isset = other30.__isset;
+LoadMessage& LoadMessage::operator=(const LoadMessage& other36) {
+  upstreamCounts = other36.upstreamCounts;
+  healthResults = other36.healthResults;
+  __isset = other36.__isset;
   return *this;
 }
-LoadMessage& LoadMessage::operator=(LoadMessage&& other31) noexcept {
-  upstreamCounts = std::move(other31.upstreamCounts);
-  healthResults = std::move(other31.healthResults);
-  __isset = other31.__isset;
+LoadMessage& LoadMessage::operator=(LoadMessage&& other37) noexcept {
+  upstreamCounts = std::move(other37.upstreamCounts);
+  healthResults = std::move(other37.healthResults);
+  __isset = other37.__isset;
   return *this;
 }
 void LoadMessage::printTo(std::ostream& out) const {
--- a/Libraries/LibMessages/gen/load_types.h
+++ b/Libraries/LibMessages/gen/load_types.h
@@ -31,6 +31,10 @@
 
 class LoadMessage;
 
+typedef struct _UpstreamCount__isset {
+  _UpstreamCount__isset() : startAgeMilliseconds(false) {}
+  bool startAgeMilliseconds :1;
+} _UpstreamCount__isset;
 
 class UpstreamCount : public virtual ::apache::thrift::TBase {
  public:
@@ -41,23 +45,33 @@
   UpstreamCount& operator=(UpstreamCount&&) noexcept;
   UpstreamCount() noexcept
                 : upstream(0),
-                  openFlows(0) {
+                  openFlows(0),
+                  startAgeMilliseconds(0) {
   }
 
   virtual ~UpstreamCount() noexcept;
   int64_t upstream;
   int32_t openFlows;
+  int32_t startAgeMilliseconds;
+
+  _UpstreamCount__isset __isset;
 
   void __set_upstream(const int64_t val);
 
   void __set_openFlows(const int32_t val);
 
+  void __set_startAgeMilliseconds(const int32_t val);
+
   bool operator == (const UpstreamCount & rhs) const
   {
     if (!(upstream == rhs.upstream))
       return false;
     if (!(openFlows == rhs.openFlows))
       return false;
+    if (__isset.startAgeMilliseconds != rhs.__isset.startAgeMilliseconds)
+      return false;
+    else if (__isset.startAgeMilliseconds && !(startAgeMilliseconds == rhs.startAgeMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const UpstreamCount &rhs) const {
@@ -76,6 +90,14 @@
 
 std::ostream& operator<<(std::ostream& out, const UpstreamCount& obj);
 
+typedef struct _UpstreamCounts__isset {
+  _UpstreamCounts__isset() : incarnation(false), openers(false), lostOpener(false), lostForMilliseconds(false), order(false) {}
+  bool incarnation :1;
+  bool openers :1;
+  bool lostOpener :1;
+  bool lostForMilliseconds :1;
+  bool order :1;
+} _UpstreamCounts__isset;
 
 class UpstreamCounts : public virtual ::apache::thrift::TBase {
  public:
@@ -84,18 +106,59 @@
   UpstreamCounts(UpstreamCounts&&) noexcept;
   UpstreamCounts& operator=(const UpstreamCounts&);
   UpstreamCounts& operator=(UpstreamCounts&&) noexcept;
-  UpstreamCounts() noexcept {
+  UpstreamCounts() noexcept
+                 : incarnation(0),
+                   lostOpener(0),
+                   lostForMilliseconds(0),
+                   order(0) {
   }
 
   virtual ~UpstreamCounts() noexcept;
   std::vector<UpstreamCount>  counts;
+  int64_t incarnation;
+  std::vector<int64_t>  openers;
+  int64_t lostOpener;
+  int32_t lostForMilliseconds;
+  int64_t order;
+
+  _UpstreamCounts__isset __isset;
 
   void __set_counts(const std::vector<UpstreamCount> & val);
 
+  void __set_incarnation(const int64_t val);
+
+  void __set_openers(const std::vector<int64_t> & val);
+
+  void __set_lostOpener(const int64_t val);
+
+  void __set_lostForMilliseconds(const int32_t val);
+
+  void __set_order(const int64_t val);
+
   bool operator == (const UpstreamCounts & rhs) const
   {
     if (!(counts == rhs.counts))
       return false;
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
+      return false;
+    if (__isset.openers != rhs.__isset.openers)
+      return false;
+    else if (__isset.openers && !(openers == rhs.openers))
+      return false;
+    if (__isset.lostOpener != rhs.__isset.lostOpener)
+      return false;
+    else if (__isset.lostOpener && !(lostOpener == rhs.lostOpener))
+      return false;
+    if (__isset.lostForMilliseconds != rhs.__isset.lostForMilliseconds)
+      return false;
+    else if (__isset.lostForMilliseconds && !(lostForMilliseconds == rhs.lostForMilliseconds))
+      return false;
+    if (__isset.order != rhs.__isset.order)
+      return false;
+    else if (__isset.order && !(order == rhs.order))
+      return false;
     return true;
   }
   bool operator != (const UpstreamCounts &rhs) const {
--- a/Libraries/LibMessages/load.thrift
+++ b/Libraries/LibMessages/load.thrift
@@ -3,10 +3,22 @@
 struct UpstreamCount {
     1: required i64 upstream,
     2: required i32 openFlows,
+    /// Time since the upstream started, as the sender knows it; absent when the sender doesn't know.
+    3: optional i32 startAgeMilliseconds,
 }
 
+/// Open flows of the sender or, with lostOpener, of an opener that is gone.
 struct UpstreamCounts {
     1: required list<UpstreamCount> counts,
+    2: optional i64 incarnation,
+    /// Openers that the sender's shares are computed with, the sender included.
+    3: optional list<i64> openers,
+    /// The counts are upper bounds for this opener, which is gone.
+    4: optional i64 lostOpener,
+    /// How long ago the opener was confirmed gone.
+    5: optional i32 lostForMilliseconds,
+    /// Grows with every message of an incarnation; counts that arrive after newer ones are ignored.
+    6: optional i64 order,
 }
 
 struct HealthResult {
--- /dev/null
+++ b/Tests/LibLoad/TestLimits.cpp
@@ -0,0 +1,372 @@
+#include <HarnessLoad/Fleet.h>
+#include <LibLoad/OpenerSet.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <random>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto IdleTimeout = 20s;
+
+std::vector<Load::OpenerId> openers(std::size_t count)
+{
+    std::vector<Load::OpenerId> result;
+    for (std::size_t i = 0; i < count; ++i)
+        result.push_back(Load::openerId(Core::VmId { i + 1 }, Core::Incarnation { 1 }));
+    return result;
+}
+
+/// A service with a limit, callers that open as much as they are given, and a count of what is really open.
+class Callers {
+public:
+    Callers(std::uint64_t seed, std::uint32_t limit, Benchmarks::NetworkShape network)
+        : fleet(seed, network)
+        , m_limit(limit)
+        , m_random(seed)
+    {
+        Benchmarks::ServiceShape shape {
+            .name = "register", .upstreams = 3, .maxConnections = limit, .idleTimeout = IdleTimeout, .slowStart = 1s
+        };
+        m_configuration = std::make_shared<Model::Configuration const>(
+            Benchmarks::makeConfiguration({ .name = "site", .zones = 2, .services = { shape } }));
+        fleet.setConfiguration(m_configuration);
+    }
+
+    Model::Service const& service() const { return m_configuration->services.front(); }
+
+    void openAll(std::size_t attempts)
+    {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            for (std::size_t n = 0; fleet.isRunning(i) && n < attempts; ++n)
+                open(i);
+        }
+    }
+
+    bool open(std::size_t balancer)
+    {
+        std::vector<Model::Upstream const*> candidates;
+        for (auto const& upstream : service().upstreams)
+            candidates.push_back(&upstream);
+        std::ranges::shuffle(candidates, m_random);
+        auto selection = fleet.at(balancer).select({ service(), candidates });
+        if (!selection.index)
+            return false;
+        auto id = candidates[*selection.index]->id;
+        fleet.at(balancer).flowOpened(service().id, id);
+        ++m_open[balancer][id];
+        return true;
+    }
+
+    /// Ends some flows. Those of a lost balancer end at another one that answers for them now, or silently.
+    void closeSome(double part, bool isSilent = false)
+    {
+        for (auto& [balancer, counts] : m_open) {
+            for (auto& [id, count] : counts) {
+                std::binomial_distribution<std::uint32_t> draw { count, part };
+                for (auto ended = draw(m_random); ended > 0; --ended)
+                    close(balancer, id, isSilent);
+            }
+        }
+    }
+
+    void close(std::size_t balancer, Core::UpstreamId id, bool isSilent)
+    {
+        if (fleet.isAlive(balancer)) {
+            fleet.at(balancer).flowClosed(service().id, id);
+        } else if (!isSilent) {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                if (!fleet.isRunning(i))
+                    continue;
+                fleet.at(i).adoptedFlowClosed(service().id, id);
+                break;
+            }
+        }
+        --m_open[balancer][id];
+    }
+
+    /// What no balancer sees: flows without packets are forgotten by their upstream.
+    void expire(std::size_t balancer) { m_open[balancer].clear(); }
+
+    std::uint32_t open(Core::UpstreamId id) const
+    {
+        std::uint32_t sum = 0;
+        for (auto const& [balancer, counts] : m_open) {
+            auto position = counts.find(id);
+            sum += position != counts.end() ? position->second : 0;
+        }
+        return sum;
+    }
+
+    std::uint32_t greatestExcess() const
+    {
+        std::uint32_t excess = 0;
+        for (auto const& upstream : service().upstreams)
+            excess = std::max(excess, open(upstream.id) > m_limit ? open(upstream.id) - m_limit : 0);
+        return excess;
+    }
+
+    std::uint32_t allOpen() const
+    {
+        std::uint32_t sum = 0;
+        for (auto const& upstream : service().upstreams)
+            sum += open(upstream.id);
+        return sum;
+    }
+
+    Benchmarks::Fleet fleet;
+
+private:
+    std::uint32_t m_limit;
+    std::mt19937_64 m_random;
+    std::shared_ptr<Model::Configuration const> m_configuration;
+    std::map<std::size_t, std::map<Core::UpstreamId, std::uint32_t>> m_open;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TestLimits)
+
+static std::uint32_t const Limits[] = { 0, 1, 2, 4, 5, 30, 1999, 2000 };
+
+BOOST_DATA_TEST_CASE(SharesAddUpToTheLimit, boost::unit_test::data::make(Limits), limit)
+{
+    // Guards against slots that nobody may use when there are more members than slots.
+    for (std::size_t count = 1; count <= 9; ++count) {
+        auto all = openers(count);
+        for (std::uint64_t upstream = 1; upstream < 50; ++upstream) {
+            std::uint32_t sum = 0;
+            for (auto opener : all)
+                sum += Load::shareOf(limit, Load::shareRank(all, opener, Core::UpstreamId { upstream }));
+            BOOST_TEST(sum == limit);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(SmallLimitsAreDealtOutEvenly)
+{
+    // Guards against a remainder that always goes to the same members: the others could then open nothing anywhere.
+    auto all = openers(5);
+    for (auto opener : all) {
+        std::uint32_t sum = 0;
+        for (std::uint64_t upstream = 1; upstream <= 100; ++upstream)
+            sum += Load::shareOf(2, Load::shareRank(all, opener, Core::UpstreamId { upstream }));
+        BOOST_TEST(sum > 20U);
+        BOOST_TEST(sum < 60U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ShareNeverShrinksWhenAnotherLeaves)
+{
+    // Guards against a share rule under which members with different views together pass the limit.
+    for (std::uint32_t limit = 0; limit < 40; ++limit) {
+        for (std::size_t count = 2; count <= 8; ++count) {
+            auto all = openers(count);
+            for (std::uint64_t upstream = 1; upstream < 20; ++upstream) {
+                for (std::size_t leaver = 1; leaver < count; ++leaver) {
+                    auto fewer = all;
+                    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(leaver));
+                    Core::UpstreamId id { upstream };
+                    auto before = Load::shareOf(limit, Load::shareRank(all, all[0], id));
+                    auto after = Load::shareOf(limit, Load::shareRank(fewer, all[0], id));
+                    BOOST_TEST(after >= before);
+                }
+            }
+        }
+    }
+}
+
+static std::uint32_t const FleetLimits[] = { 2, 4, 7, 60 };
+
+BOOST_DATA_TEST_CASE(FullFleetUsesTheWholeLimit, boost::unit_test::data::make(FleetLimits), limit)
+{
+    // Guards against shares that are safe only because they leave room unused.
+    Callers callers { 1, limit, {} };
+    for (int i = 0; i < 5; ++i)
+        callers.fleet.add();
+    callers.fleet.run(3s);
+    callers.openAll(200);
+    BOOST_TEST(callers.allOpen() == 3 * limit);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+}
+
+BOOST_DATA_TEST_CASE(SuspicionGrowsNoShare, boost::unit_test::data::make(FleetLimits), limit)
+{
+    // Guards against the simple rule limit / reachable members: both sides of a partition would fill the limit.
+    Callers callers { 2, limit, {} };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.run(3s);
+    callers.fleet.setPartition({ 0, 1 });
+    callers.fleet.run(60s);
+    callers.openAll(200);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+    // Two sides that each divide the limit by the two members they reach.
+    std::uint32_t simpleRule = 4 * (limit / 2);
+    BOOST_TEST(simpleRule > limit);
+}
+
+BOOST_DATA_TEST_CASE(OrphansCountUntilTheyEnd, boost::unit_test::data::make(FleetLimits), limit)
+{
+    // Guards against the simple rule limit / living members: the flows of the lost one would come on top of the limit.
+    Callers callers { 3, limit, {} };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.run(3s);
+    callers.openAll(200);
+    auto full = callers.allOpen();
+    callers.fleet.crash(0);
+    callers.fleet.run(Benchmarks::Fleet::ConfirmationTime + 2s);
+    callers.openAll(200);
+    BOOST_TEST(callers.allOpen() == full);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+    // After the idle timeout the orphans are gone, and the living use the whole limit.
+    callers.expire(0);
+    callers.fleet.run(IdleTimeout + 2s);
+    callers.openAll(200);
+    BOOST_TEST(callers.allOpen() == 3 * limit);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SeenEndOfAnOrphanFreesItsSlot)
+{
+    // Guards against a lost balancer's slots that stay unused until the idle timeout although their flows have ended.
+    Callers callers { 4, 60, {} };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.run(3s);
+    callers.openAll(200);
+    callers.fleet.crash(3);
+    callers.fleet.run(Benchmarks::Fleet::ConfirmationTime + 2s);
+    auto id = callers.service().upstreams.front().id;
+    for (int i = 0; i < 4; ++i)
+        callers.close(3, id, false);
+    BOOST_TEST(callers.open(id) == 56U);
+    callers.openAll(200);
+    BOOST_TEST(callers.open(id) == 60U);
+}
+
+BOOST_AUTO_TEST_CASE(StillReportedOrphansOutliveTheIdleTimeout)
+{
+    // Guards against sessions that stay open all day and drop out of the count after the idle timeout.
+    Callers callers { 5, 60, {} };
+    callers.fleet.probe
+        = [&](std::size_t, Core::UpstreamId id) { return Load::UpstreamReport { .connections = callers.open(id) }; };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.run(3s);
+    callers.openAll(200);
+    callers.fleet.crash(0);
+    callers.fleet.run(IdleTimeout + 60s);
+    callers.openAll(200);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StartedBalancerWaitsUntilAllCountIt)
+{
+    // Guards against a new balancer that opens its share while others still use the larger one from before.
+    Callers callers { 6, 60, {} };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.run(3s);
+    callers.openAll(200);
+    auto added = callers.fleet.add();
+    BOOST_TEST(!callers.fleet.at(added).isReady());
+    BOOST_TEST(!callers.open(added));
+    callers.fleet.run(3s);
+    // The others are full, so the new one gets a slot only when a flow of theirs has ended.
+    BOOST_TEST(callers.fleet.at(added).isReady());
+    callers.openAll(200);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+    callers.closeSome(0.5);
+    callers.fleet.run(12s);
+    BOOST_TEST(callers.open(added));
+    callers.openAll(200);
+    BOOST_TEST(callers.greatestExcess() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ListNeverBringsBackALostMember)
+{
+    // Guards against a late platform list that revives what is known to be gone, and with it a claim on the limits.
+    Load::OpenerSet set { Core::VmId { 1 }, Core::Incarnation { 1 } };
+    Core::ManualClock clock;
+    Core::UpstreamId upstream { 7 };
+    Load::LoadMember member { Core::VmId { 2 }, Load::MemberStatus::Alive, Core::Incarnation { 1 } };
+    auto apply = [&](Load::MemberStatus status) {
+        member.status = status;
+        set.applyMembers({ member }, clock.now());
+    };
+    auto retire = [&] { set.retireLost({ upstream }, [](auto, auto) { return true; }); };
+    apply(Load::MemberStatus::Alive);
+    BOOST_TEST(set.ownShare(upstream, 10) == 5U);
+    apply(Load::MemberStatus::Gone);
+    BOOST_TEST(set.ownShare(upstream, 10) == 5U);
+    apply(Load::MemberStatus::Alive);
+    BOOST_TEST(set.hasLost(upstream));
+    retire();
+    apply(Load::MemberStatus::Alive);
+    BOOST_TEST(set.ownShare(upstream, 10) == 10U);
+    // An own message is the proof that the list is not.
+    Messages::UpstreamCounts message;
+    message.__set_incarnation(1);
+    set.hear(member.vm, message, clock.now());
+    BOOST_TEST(set.ownShare(upstream, 10) == 5U);
+}
+
+BOOST_DATA_TEST_CASE(SumNeverPassesTheLimit, boost::unit_test::data::xrange(40), seed)
+{
+    // Guards against any order of crashes, restarts, pauses, partitions, late and lost messages that passes a limit.
+    auto random = std::mt19937_64 { static_cast<std::uint64_t>(seed) };
+    auto draw = [&](std::size_t count) { return std::uniform_int_distribution<std::size_t> { 0, count - 1 }(random); };
+    std::uint32_t limit = FleetLimits[draw(4)];
+    Callers callers { static_cast<std::uint64_t>(seed), limit, { 1ms, 2500ms, 0.2 } };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.run(5s);
+    std::map<std::size_t, Core::TimePoint> lost;
+    for (int round = 0; round < 150; ++round) {
+        auto index = draw(callers.fleet.size());
+        switch (draw(12)) {
+        case 0:
+            if (callers.fleet.isRunning(index) && lost.size() < 6) {
+                callers.fleet.crash(index);
+                lost[index] = callers.fleet.now();
+                if (draw(2) == 0)
+                    callers.fleet.restart(index);
+            }
+            break;
+        case 1:
+            if (callers.fleet.size() < 12)
+                callers.fleet.add();
+            break;
+        case 2:
+            callers.fleet.setPaused(index, true);
+            break;
+        case 3:
+            callers.fleet.setPartition({ index });
+            break;
+        case 4:
+            callers.fleet.setPartition({});
+            for (std::size_t i = 0; i < callers.fleet.size(); ++i)
+                callers.fleet.setPaused(i, false);
+            break;
+        default:
+            callers.openAll(limit);
+        }
+        callers.closeSome(0.1);
+        callers.fleet.run(std::chrono::milliseconds { 100 * (1 + draw(30)) });
+        for (auto const& [balancer, lostAt] : lost) {
+            if (callers.fleet.now() - lostAt > IdleTimeout)
+                callers.expire(balancer);
+        }
+        BOOST_REQUIRE_EQUAL(callers.greatestExcess(), 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
