--- a/Libraries/LibMembership/Controller.cpp
+++ b/Libraries/LibMembership/Controller.cpp
@@ -1,67 +1,88 @@
 #include <LibMembership/Controller.h>
-
-#include <absl/synchronization/mutex.h>
+#include <LibMembership/Detector.h>
 
 namespace Chicorytally::Membership {
 
-// FIXME: A stand-in that knows only this process, so that the daemon can be built against the interface.
-class Controller::State {
-public:
-    State(Options options, Hooks hooks)
-        : m_options(std::move(options))
-        , m_hooks(std::move(hooks))
-    {
-    }
-
-    Options m_options;
-    Hooks m_hooks;
-    mutable absl::Mutex m_lock;
-    Core::Revision m_revision ABSL_GUARDED_BY(m_lock);
-    bool m_isLeaving ABSL_GUARDED_BY(m_lock) { false };
-};
-
-Controller::Controller(Core::Clock const&, Options options, Hooks hooks)
-    : m_state(std::make_unique<State>(std::move(options), std::move(hooks)))
+Controller::Controller(Core::Clock const& clock, Options options, Hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_detector(std::make_unique<Detector>(clock, std::move(options)))
 {
 }
 
 Controller::~Controller() = default;
 
-void Controller::receive(Core::VmId, Core::Incarnation, Messages::MembershipMessage const&, Core::Endpoint const&) { }
+void Controller::receive(Core::VmId sender, Core::Incarnation incarnation, Messages::MembershipMessage const& message,
+    Core::Endpoint const& from)
+{
+    absl::MutexLock lock { &m_lock };
+    m_detector->receive(sender, incarnation, message, from);
+}
 
-std::vector<OutgoingMessage> Controller::tick() { return {}; }
+std::vector<OutgoingMessage> Controller::tick()
+{
+    std::vector<OutgoingMessage> messages;
+    std::optional<Core::Incarnation> newIncarnation;
+    bool hasChanged = false;
+    {
+        absl::MutexLock lock { &m_lock };
+        messages = m_detector->tick();
+        newIncarnation = m_detector->takeNewIncarnation();
+        hasChanged = m_detector->takeMembersChanged();
+    }
+    // The new incarnation is reported first, because the messages that the caller is about to send announce it.
+    if (newIncarnation && m_hooks.incarnationChanged)
+        m_hooks.incarnationChanged(*newIncarnation);
+    if (hasChanged && m_hooks.membersChanged)
+        m_hooks.membersChanged();
+    return messages;
+}
 
 std::vector<Member> Controller::members() const
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    auto const& options = m_state->m_options;
-    return { Member { .vm = options.self,
-        .endpoint = options.endpoint,
-        .dataEndpoint = { options.endpoint.address, options.dataPort },
-        .zone = options.zone,
-        .incarnation = options.incarnation,
-        .state = m_state->m_isLeaving ? MemberState::Leaving : MemberState::Alive,
-        .revision = m_state->m_revision } };
+    absl::MutexLock lock { &m_lock };
+    return m_detector->members();
 }
 
-std::optional<Core::Endpoint> Controller::endpointOf(Core::VmId) const { return std::nullopt; }
-std::optional<Core::Endpoint> Controller::dataEndpointOf(Core::VmId) const { return std::nullopt; }
+std::optional<Core::Endpoint> Controller::endpointOf(Core::VmId vm) const
+{
+    absl::MutexLock lock { &m_lock };
+    return m_detector->endpointOf(vm);
+}
+
+std::optional<Core::Endpoint> Controller::dataEndpointOf(Core::VmId vm) const
+{
+    absl::MutexLock lock { &m_lock };
+    return m_detector->dataEndpointOf(vm);
+}
 
 void Controller::setRevision(Core::Revision revision)
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    m_state->m_revision = revision;
+    absl::MutexLock lock { &m_lock };
+    m_detector->setRevision(revision);
 }
 
-void Controller::applyVmList(std::vector<PlatformVm> const&) { }
+void Controller::applyVmList(std::vector<PlatformVm> const& vms)
+{
+    absl::MutexLock lock { &m_lock };
+    m_detector->applyVmList(vms);
+}
 
 void Controller::announceLeave()
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    m_state->m_isLeaving = true;
+    absl::MutexLock lock { &m_lock };
+    m_detector->announceLeave();
 }
 
-Core::Incarnation Controller::incarnation() const { return m_state->m_options.incarnation; }
-bool Controller::isConfirmed() const { return true; }
+Core::Incarnation Controller::incarnation() const
+{
+    absl::MutexLock lock { &m_lock };
+    return m_detector->incarnation();
+}
+
+bool Controller::isConfirmed() const
+{
+    absl::MutexLock lock { &m_lock };
+    return m_detector->isConfirmed();
+}
 
 }
--- a/Libraries/LibMembership/Controller.h
+++ b/Libraries/LibMembership/Controller.h
@@ -4,12 +4,17 @@
 #include <LibMembership/Options.h>
 #include <LibMessages/Messages.h>
 
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
 #include <memory>
 #include <optional>
 #include <vector>
 
 namespace Chicorytally::Membership {
 
+class Detector;
+
 /// A message that is due.
 struct OutgoingMessage {
     Core::Endpoint receiverEndpoint;
@@ -48,8 +53,9 @@
     bool isConfirmed() const;
 
 private:
-    class State;
-    std::unique_ptr<State> m_state;
+    Hooks m_hooks;
+    mutable absl::Mutex m_lock;
+    std::unique_ptr<Detector> m_detector ABSL_PT_GUARDED_BY(m_lock);
 };
 
 }
--- /dev/null
+++ b/Libraries/LibMembership/Detector.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <LibMembership/Controller.h>
+#include <LibMembership/MemberTable.h>
+#include <LibMembership/ProbeOrder.h>
+#include <LibMembership/UpdateQueue.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <random>
+
+namespace Chicorytally::Membership {
+
+/// The state behind Membership::Controller. Not thread-safe.
+///
+/// Each probe interval a process probes one member of its availability zone in a random round. Two members of each
+/// zone, chosen by rendezvous hash per other zone, are relays and also probe one member of another zone. So the cost of
+/// a process depends on neither the number of members nor the number of zones.
+class Detector {
+public:
+    Detector(Core::Clock const&, Options);
+
+    void receive(Core::VmId sender, Core::Incarnation, Messages::MembershipMessage const&, Core::Endpoint const& from);
+    std::vector<OutgoingMessage> tick();
+
+    std::vector<Member> members() const;
+    std::optional<Core::Endpoint> endpointOf(Core::VmId) const;
+    std::optional<Core::Endpoint> dataEndpointOf(Core::VmId) const;
+    void setRevision(Core::Revision);
+    void applyVmList(std::vector<PlatformVm> const&);
+    void announceLeave();
+    Core::Incarnation incarnation() const { return m_incarnation; }
+    bool isConfirmed() const;
+
+    /// Whether the result of members() changed since the last call.
+    bool takeMembersChanged();
+    /// A greater incarnation that was taken since the last call.
+    std::optional<Core::Incarnation> takeNewIncarnation();
+
+private:
+    enum class ProbeStage : std::uint8_t {
+        Direct,
+        /// Other members were asked to probe, and the direct ping was repeated.
+        Helped,
+        /// The direct ping was repeated once more.
+        Repeated,
+    };
+
+    struct Probe {
+        Core::VmId target;
+        Core::TimePoint startedAt;
+        ProbeStage stage { ProbeStage::Direct };
+    };
+
+    /// A ping that another member asked for.
+    struct Relay {
+        Core::VmId requester;
+        Core::Endpoint requesterEndpoint;
+        std::int64_t requesterSequence { 0 };
+        Core::TimePoint startedAt;
+    };
+
+    /// Pages of another member's list that are being fetched.
+    struct Session {
+        Core::VmId peer;
+        Core::Endpoint endpoint;
+        std::int64_t cursor { 0 };
+        /// The first synchronisation after the start takes all members at a faster pace.
+        bool isWhole { false };
+        Core::TimePoint nextRequest;
+        int attempts { 0 };
+    };
+
+    void receivePing(Core::VmId, Core::Incarnation, Messages::Ping const&, Core::Endpoint const& from);
+    void receiveAck(Core::VmId, Core::Incarnation, Messages::Ack const&, Core::Endpoint const& from);
+    void receivePingRequest(Core::VmId, Messages::PingRequest const&, Core::Endpoint const& from);
+    void receiveSyncRequest(Core::VmId, Messages::SyncRequest const&, Core::Endpoint const& from);
+    void receiveSyncReply(Core::VmId, Messages::SyncReply const&);
+    void mergeAll(std::vector<Messages::MemberUpdate> const&);
+    void mergeSelf(Messages::MemberUpdate const&);
+    bool isOutdated(Messages::MemberUpdate const& aboutSelf) const;
+    void takeGreaterIncarnation(std::uint64_t than);
+    void noteContact(Core::VmId, Core::Revision);
+    void compareView(Core::VmId, Core::Endpoint const&, std::int64_t digest);
+    bool forwardAck(Core::VmId target, std::int64_t sequence);
+
+    void resume();
+    void expireProbes();
+    void askHelpers(std::int64_t sequence, Probe&);
+    void repeatProbe(std::int64_t sequence, Probe&);
+    void startProbes();
+    void probe(Core::VmId);
+    void probeSuspects();
+    void expireSuspicions();
+    void probeDisputed();
+    void reconnect();
+    void pingSeed();
+    void pushToMembers();
+    void continueSession();
+    void confirmWhenAlone();
+    void forget();
+
+    void rebuildOrders();
+    std::vector<Core::VmId> relayedMembers(absl::flat_hash_map<Core::ZoneId, std::vector<Core::VmId>> const&) const;
+    std::vector<Core::VmId> pickHelpers(Core::VmId target);
+    std::optional<Core::VmId> pickReachable();
+
+    std::int64_t sendPing(Core::VmId, Core::Endpoint const&);
+    void sendPing(std::int64_t sequence, Core::VmId, Core::Endpoint const&, std::optional<Core::VmId> onBehalfOf);
+    void send(Core::VmId, Core::Endpoint const&, Messages::MembershipMessage);
+    std::vector<Messages::MemberUpdate> updatesFor(Core::VmId receiver, Core::VmId about);
+    Messages::MemberUpdate selfUpdate() const;
+    std::uint32_t selfDigest() const;
+    std::int64_t viewDigest() const;
+    std::chrono::nanoseconds suspicionTimeout() const;
+    unsigned sendLimit() const;
+    void queue(Core::VmId);
+    void queueSelf();
+    std::size_t random(std::size_t below);
+    Core::TimePoint now() const { return m_clock.now(); }
+
+    Core::Clock const& m_clock;
+    Options m_options;
+    std::mt19937_64 m_random;
+    Core::Incarnation m_incarnation;
+    std::uint32_t m_refutation { 0 };
+    Core::Revision m_revision;
+    bool m_isLeaving { false };
+
+    MemberTable m_table;
+    UpdateQueue m_updates;
+    ProbeOrder m_zoneOrder;
+    ProbeOrder m_relayOrder;
+    std::vector<Core::VmId> m_reachable;
+    std::vector<Core::VmId> m_zoneReachable;
+    std::vector<Core::VmId> m_unreachable;
+    bool m_areOrdersStale { true };
+
+    absl::flat_hash_map<std::int64_t, Probe> m_probes;
+    absl::flat_hash_map<std::int64_t, Relay> m_relays;
+    absl::flat_hash_set<Core::VmId> m_suspects;
+    /// Members that don't know this process yet.
+    absl::flat_hash_set<Core::VmId> m_introductions;
+    /// Members that others declared dead and that are still to be probed.
+    std::vector<Core::VmId> m_disputed;
+    std::vector<Core::Endpoint> m_listSeeds;
+    std::optional<Session> m_session;
+    bool m_hasJoined { false };
+
+    std::int64_t m_sequence;
+    Core::TimePoint m_startedAt;
+    Core::TimePoint m_heardAt;
+    std::optional<Core::TimePoint> m_lastTick;
+    Core::TimePoint m_nextProbe;
+    Core::TimePoint m_nextReconnect;
+    Core::TimePoint m_nextSeedPing;
+    Core::TimePoint m_nextForget;
+    Core::TimePoint m_nextSession;
+    std::optional<Core::TimePoint> m_viewDiffersSince;
+    int m_pushesLeft { 0 };
+    Core::TimePoint m_nextPush;
+    Core::TimePoint m_nextDisputed;
+
+    bool m_isConfirmed { false };
+    Core::TimePoint m_unconfirmedSince;
+    /// Only an answer to a ping sent since the start or the last pause confirms the incarnation.
+    std::int64_t m_confirmingSequence;
+    std::optional<Core::TimePoint> m_confirmedAt;
+
+    std::vector<OutgoingMessage> m_outgoing;
+    bool m_hasMembersChanged { false };
+    std::optional<Core::Incarnation> m_newIncarnation;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/ProbeOrder.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace Chicorytally::Membership {
+
+/// Visits a changing set of members in a random order, each once per round (SWIM, section 4.3), so that the time until
+/// a member is probed has a bound.
+class ProbeOrder {
+public:
+    explicit ProbeOrder(std::uint64_t seed)
+        : m_roundKey(seed)
+    {
+    }
+
+    /// Replaces the set; members that remain keep their place in the round.
+    void assign(std::vector<Core::VmId> members);
+    std::optional<Core::VmId> next();
+    std::size_t size() const { return m_order.size(); }
+
+private:
+    using Place = std::pair<std::uint64_t, Core::VmId>;
+
+    void sort();
+
+    std::uint64_t m_roundKey;
+    std::uint64_t m_position { 0 };
+    std::vector<Place> m_order;
+};
+
+}
--- a/Libraries/LibMessages/distribution.thrift
+++ b/Libraries/LibMessages/distribution.thrift
@@ -1,13 +1,19 @@
 namespace cpp Chicorytally.Messages
 
 struct RevisionDigest {
+    /// 0 when the sender has no configuration.
     1: required i64 revision,
     /// Hash of the whole configuration at this revision.
     2: required i64 digest,
+    /// How long ago a reader of the sender's zone last heard of the platform, as far as the sender knows.
+    3: optional i32 platformAgeMilliseconds,
+    /// The sender asks for a RevisionDigest in return.
+    4: optional bool isQuestion,
 }
 
 struct DeltaRequest {
     1: required i64 fromRevision,
+    2: optional i64 fromDigest,
 }
 
 struct ConfigurationFile {
@@ -23,17 +29,23 @@
     4: required list<ConfigurationFile> files,
 }
 
+/// Asks for chunks of an encoded Delta. A delta from revision 0 is a full copy.
 struct CopyRequest {
     1: required i64 revision,
     2: required i32 firstChunk,
+    3: optional i32 chunkCount,
+    4: optional i64 fromRevision,
 }
 
+/// Part of an encoded Delta. The encoding is the same on all balancers, so that chunks of several peers fit together.
 struct CopyChunk {
     1: required i64 revision,
+    /// Hash of the whole configuration at this revision.
     2: required i64 digest,
     3: required i32 index,
     4: required i32 count,
     5: required binary content,
+    6: optional i64 fromRevision,
 }
 
 union DistributionMessage {
--- a/Libraries/LibMessages/gen/distribution_types.cpp
+++ b/Libraries/LibMessages/gen/distribution_types.cpp
@@ -25,6 +25,16 @@
 void RevisionDigest::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void RevisionDigest::__set_platformAgeMilliseconds(const int32_t val) {
+  this->platformAgeMilliseconds = val;
+__isset.platformAgeMilliseconds = true;
+}
+
+void RevisionDigest::__set_isQuestion(const bool val) {
+  this->isQuestion = val;
+__isset.isQuestion = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionDigest& obj)
 {
   obj.printTo(out);
@@ -71,6 +81,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->platformAgeMilliseconds);
+          this->__isset.platformAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isQuestion);
+          this->__isset.isQuestion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -100,6 +126,16 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.platformAgeMilliseconds) {
+    xfer += oprot->writeFieldBegin("platformAgeMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->platformAgeMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.isQuestion) {
+    xfer += oprot->writeFieldBegin("isQuestion", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->isQuestion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -109,24 +145,39 @@
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.digest, b.digest);
+  swap(a.platformAgeMilliseconds, b.platformAgeMilliseconds);
+  swap(a.isQuestion, b.isQuestion);
+  swap(a.__isset, b.__isset);
 }
 
 RevisionDigest::RevisionDigest(const RevisionDigest& other0) noexcept {
   revision = other0.revision;
   digest = other0.digest;
+  platformAgeMilliseconds = other0.platformAgeMilliseconds;
+  isQuestion = other0.isQuestion;
+  __isset = other0.__isset;
 }
 RevisionDigest::RevisionDigest(RevisionDigest&& other1) noexcept {
   revision = other1.revision;
   digest = other1.digest;
+  platformAgeMilliseconds = other1.platformAgeMilliseconds;
+  isQuestion = other1.isQuestion;
+  __isset = other1.__isset;
 }
 RevisionDigest& RevisionDigest::operator=(const RevisionDigest& other2) noexcept {
   revision = other2.revision;
   digest = other2.digest;
+  platformAgeMilliseconds = other2.platformAgeMilliseconds;
+  isQuestion = other2.isQuestion;
+  __isset = other2.__isset;
   return *this;
 }
 RevisionDigest& RevisionDigest::operator=(RevisionDigest&& other3) noexcept {
   revision = other3.revision;
   digest = other3.digest;
+  platformAgeMilliseconds = other3.platformAgeMilliseconds;
+  isQuestion = other3.isQuestion;
+  __isset = other3.__isset;
   return *this;
 }
 void RevisionDigest::printTo(std::ostream& out) const {
@@ -134,6 +185,8 @@
   out << "RevisionDigest(";
   out << "revision=" << to_string(revision);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "platformAgeMilliseconds="; (__isset.platformAgeMilliseconds ? (out << to_string(platformAgeMilliseconds)) : (out << "<null>"));
+  out << ", " << "isQuestion="; (__isset.isQuestion ? (out << to_string(isQuestion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -145,6 +198,11 @@
 void DeltaRequest::__set_fromRevision(const int64_t val) {
   this->fromRevision = val;
 }
+
+void DeltaRequest::__set_fromDigest(const int64_t val) {
+  this->fromDigest = val;
+__isset.fromDigest = true;
+}
 std::ostream& operator<<(std::ostream& out, const DeltaRequest& obj)
 {
   obj.printTo(out);
@@ -182,6 +240,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromDigest);
+          this->__isset.fromDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -205,6 +271,11 @@
   xfer += oprot->writeI64(this->fromRevision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.fromDigest) {
+    xfer += oprot->writeFieldBegin("fromDigest", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->fromDigest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -213,26 +284,37 @@
 void swap(DeltaRequest &a, DeltaRequest &b) {
   using ::std::swap;
   swap(a.fromRevision, b.fromRevision);
+  swap(a.fromDigest, b.fromDigest);
+  swap(a.__isset, b.__isset);
 }
 
 DeltaRequest::DeltaRequest(const DeltaRequest& other4) noexcept {
   fromRevision = other4.fromRevision;
+  fromDigest = other4.fromDigest;
+  __isset = other4.__isset;
 }
 DeltaRequest::DeltaRequest(DeltaRequest&& other5) noexcept {
   fromRevision = other5.fromRevision;
+  fromDigest = other5.fromDigest;
+  __isset = other5.__isset;
 }
 DeltaRequest& DeltaRequest::operator=(const DeltaRequest& other6) noexcept {
   fromRevision = other6.fromRevision;
+  fromDigest = other6.fromDigest;
+  __isset = other6.__isset;
   return *this;
 }
 DeltaRequest& DeltaRequest::operator=(DeltaRequest&& other7) noexcept {
   fromRevision = other7.fromRevision;
+  fromDigest = other7.fromDigest;
+  __isset = other7.__isset;
   return *this;
 }
 void DeltaRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "DeltaRequest(";
   out << "fromRevision=" << to_string(fromRevision);
+  out << ", " << "fromDigest="; (__isset.fromDigest ? (out << to_string(fromDigest)) : (out << "<null>"));
   out << ")";
 }
 
@@ -594,6 +676,16 @@
 void CopyRequest::__set_firstChunk(const int32_t val) {
   this->firstChunk = val;
 }
+
+void CopyRequest::__set_chunkCount(const int32_t val) {
+  this->chunkCount = val;
+__isset.chunkCount = true;
+}
+
+void CopyRequest::__set_fromRevision(const int64_t val) {
+  this->fromRevision = val;
+__isset.fromRevision = true;
+}
 std::ostream& operator<<(std::ostream& out, const CopyRequest& obj)
 {
   obj.printTo(out);
@@ -640,6 +732,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->chunkCount);
+          this->__isset.chunkCount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromRevision);
+          this->__isset.fromRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -669,6 +777,16 @@
   xfer += oprot->writeI32(this->firstChunk);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.chunkCount) {
+    xfer += oprot->writeFieldBegin("chunkCount", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->chunkCount);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.fromRevision) {
+    xfer += oprot->writeFieldBegin("fromRevision", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->fromRevision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -678,24 +796,39 @@
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.firstChunk, b.firstChunk);
+  swap(a.chunkCount, b.chunkCount);
+  swap(a.fromRevision, b.fromRevision);
+  swap(a.__isset, b.__isset);
 }
 
 CopyRequest::CopyRequest(const CopyRequest& other22) noexcept {
   revision = other22.revision;
   firstChunk = other22.firstChunk;
+  chunkCount = other22.chunkCount;
+  fromRevision = other22.fromRevision;
+  __isset = other22.__isset;
 }
 CopyRequest::CopyRequest(CopyRequest&& other23) noexcept {
   revision = other23.revision;
   firstChunk = other23.firstChunk;
+  chunkCount = other23.chunkCount;
+  fromRevision = other23.fromRevision;
+  __isset = other23.__isset;
 }
 CopyRequest& CopyRequest::operator=(const CopyRequest& other24) noexcept {
   revision = other24.revision;
   firstChunk = other24.firstChunk;
+  chunkCount = other24.chunkCount;
+  fromRevision = other24.fromRevision;
+  __isset = other24.__isset;
   return *this;
 }
 CopyRequest& CopyRequest::operator=(CopyRequest&& other25) noexcept {
   revision = other25.revision;
   firstChunk = other25.firstChunk;
+  chunkCount = other25.chunkCount;
+  fromRevision = other25.fromRevision;
+  __isset = other25.__isset;
   return *this;
 }
 void CopyRequest::printTo(std::ostream& out) const {
@@ -703,6 +836,8 @@
   out << "CopyRequest(";
   out << "revision=" << to_string(revision);
   out << ", " << "firstChunk=" << to_string(firstChunk);
+  out << ", " << "chunkCount="; (__isset.chunkCount ? (out << to_string(chunkCount)) : (out << "<null>"));
+  out << ", " << "fromRevision="; (__isset.fromRevision ? (out << to_string(fromRevision)) : (out << "<null>"));
   out << ")";
 }
 
@@ -730,6 +865,11 @@
 void CopyChunk::__set_content(const std::string& val) {
   this->content = val;
 }
+
+void CopyChunk::__set_fromRevision(const int64_t val) {
+  this->fromRevision = val;
+__isset.fromRevision = true;
+}
 std::ostream& operator<<(std::ostream& out, const CopyChunk& obj)
 {
   obj.printTo(out);
@@ -803,6 +943,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromRevision);
+          this->__isset.fromRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -850,6 +998,11 @@
   xfer += oprot->writeBinary(this->content);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.fromRevision) {
+    xfer += oprot->writeFieldBegin("fromRevision", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->fromRevision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -862,6 +1015,8 @@
   swap(a.index, b.index);
   swap(a.count, b.count);
   swap(a.content, b.content);
+  swap(a.fromRevision, b.fromRevision);
+  swap(a.__isset, b.__isset);
 }
 
 CopyChunk::CopyChunk(const CopyChunk& other26) {
@@ -870,6 +1025,8 @@
   index = other26.index;
   count = other26.count;
   content = other26.content;
+  fromRevision = other26.fromRevision;
+  __isset = other26.__isset;
 }
 CopyChunk::CopyChunk(CopyChunk&& other27) noexcept {
   revision = other27.revision;
@@ -877,6 +1034,8 @@
   index = other27.index;
   count = other27.count;
   content = std::move(other27.content);
+  fromRevision = other27.fromRevision;
+  __isset = other27.__isset;
 }
 CopyChunk& CopyChunk::operator=(const CopyChunk& other28) {
   revision = other28.revision;
@@ -884,6 +1043,8 @@
   index = other28.index;
   count = other28.count;
   content = other28.content;
+  fromRevision = other28.fromRevision;
+  __isset = other28.__isset;
   return *this;
 }
 CopyChunk& CopyChunk::operator=(CopyChunk&& other29) noexcept {
@@ -892,6 +1053,8 @@
   index = other29.index;
   count = other29.count;
   content = std::move(other29.content);
+  fromRevision = other29.fromRevision;
+  __isset = other29.__isset;
   return *this;
 }
 void CopyChunk::printTo(std::ostream& out) const {
@@ -902,6 +1065,7 @@
   out << ", " << "index=" << to_string(index);
   out << ", " << "count=" << to_string(count);
   out << ", " << "content=" << to_string(content);
+  out << ", " << "fromRevision="; (__isset.fromRevision ? (out << to_string(fromRevision)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/distribution_types.h
+++ b/Libraries/LibMessages/gen/distribution_types.h
@@ -35,6 +35,11 @@
 
 class DistributionMessage;
 
+typedef struct _RevisionDigest__isset {
+  _RevisionDigest__isset() : platformAgeMilliseconds(false), isQuestion(false) {}
+  bool platformAgeMilliseconds :1;
+  bool isQuestion :1;
+} _RevisionDigest__isset;
 
 class RevisionDigest : public virtual ::apache::thrift::TBase {
  public:
@@ -45,23 +50,41 @@
   RevisionDigest& operator=(RevisionDigest&&) noexcept;
   RevisionDigest() noexcept
                  : revision(0),
-                   digest(0) {
+                   digest(0),
+                   platformAgeMilliseconds(0),
+                   isQuestion(0) {
   }
 
   virtual ~RevisionDigest() noexcept;
   int64_t revision;
   int64_t digest;
+  int32_t platformAgeMilliseconds;
+  bool isQuestion;
+
+  _RevisionDigest__isset __isset;
 
   void __set_revision(const int64_t val);
 
   void __set_digest(const int64_t val);
 
+  void __set_platformAgeMilliseconds(const int32_t val);
+
+  void __set_isQuestion(const bool val);
+
   bool operator == (const RevisionDigest & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (__isset.platformAgeMilliseconds != rhs.__isset.platformAgeMilliseconds)
+      return false;
+    else if (__isset.platformAgeMilliseconds && !(platformAgeMilliseconds == rhs.platformAgeMilliseconds))
+      return false;
+    if (__isset.isQuestion != rhs.__isset.isQuestion)
+      return false;
+    else if (__isset.isQuestion && !(isQuestion == rhs.isQuestion))
+      return false;
     return true;
   }
   bool operator != (const RevisionDigest &rhs) const {
@@ -80,6 +103,10 @@
 
 std::ostream& operator<<(std::ostream& out, const RevisionDigest& obj);
 
+typedef struct _DeltaRequest__isset {
+  _DeltaRequest__isset() : fromDigest(false) {}
+  bool fromDigest :1;
+} _DeltaRequest__isset;
 
 class DeltaRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -89,18 +116,28 @@
   DeltaRequest& operator=(const DeltaRequest&) noexcept;
   DeltaRequest& operator=(DeltaRequest&&) noexcept;
   DeltaRequest() noexcept
-               : fromRevision(0) {
+               : fromRevision(0),
+                 fromDigest(0) {
   }
 
   virtual ~DeltaRequest() noexcept;
   int64_t fromRevision;
+  int64_t fromDigest;
+
+  _DeltaRequest__isset __isset;
 
   void __set_fromRevision(const int64_t val);
 
+  void __set_fromDigest(const int64_t val);
+
   bool operator == (const DeltaRequest & rhs) const
   {
     if (!(fromRevision == rhs.fromRevision))
       return false;
+    if (__isset.fromDigest != rhs.__isset.fromDigest)
+      return false;
+    else if (__isset.fromDigest && !(fromDigest == rhs.fromDigest))
+      return false;
     return true;
   }
   bool operator != (const DeltaRequest &rhs) const {
@@ -237,6 +274,11 @@
 
 std::ostream& operator<<(std::ostream& out, const Delta& obj);
 
+typedef struct _CopyRequest__isset {
+  _CopyRequest__isset() : chunkCount(false), fromRevision(false) {}
+  bool chunkCount :1;
+  bool fromRevision :1;
+} _CopyRequest__isset;
 
 class CopyRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -247,23 +289,41 @@
   CopyRequest& operator=(CopyRequest&&) noexcept;
   CopyRequest() noexcept
               : revision(0),
-                firstChunk(0) {
+                firstChunk(0),
+                chunkCount(0),
+                fromRevision(0) {
   }
 
   virtual ~CopyRequest() noexcept;
   int64_t revision;
   int32_t firstChunk;
+  int32_t chunkCount;
+  int64_t fromRevision;
+
+  _CopyRequest__isset __isset;
 
   void __set_revision(const int64_t val);
 
   void __set_firstChunk(const int32_t val);
 
+  void __set_chunkCount(const int32_t val);
+
+  void __set_fromRevision(const int64_t val);
+
   bool operator == (const CopyRequest & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
     if (!(firstChunk == rhs.firstChunk))
       return false;
+    if (__isset.chunkCount != rhs.__isset.chunkCount)
+      return false;
+    else if (__isset.chunkCount && !(chunkCount == rhs.chunkCount))
+      return false;
+    if (__isset.fromRevision != rhs.__isset.fromRevision)
+      return false;
+    else if (__isset.fromRevision && !(fromRevision == rhs.fromRevision))
+      return false;
     return true;
   }
   bool operator != (const CopyRequest &rhs) const {
@@ -282,6 +342,10 @@
 
 std::ostream& operator<<(std::ostream& out, const CopyRequest& obj);
 
+typedef struct _CopyChunk__isset {
+  _CopyChunk__isset() : fromRevision(false) {}
+  bool fromRevision :1;
+} _CopyChunk__isset;
 
 class CopyChunk : public virtual ::apache::thrift::TBase {
  public:
@@ -295,7 +359,8 @@
               digest(0),
               index(0),
               count(0),
-              content() {
+              content(),
+              fromRevision(0) {
   }
 
   virtual ~CopyChunk() noexcept;
@@ -304,6 +369,9 @@
   int32_t index;
   int32_t count;
   std::string content;
+  int64_t fromRevision;
+
+  _CopyChunk__isset __isset;
 
   void __set_revision(const int64_t val);
 
@@ -315,6 +383,8 @@
 
   void __set_content(const std::string& val);
 
+  void __set_fromRevision(const int64_t val);
+
   bool operator == (const CopyChunk & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -327,6 +397,10 @@
       return false;
     if (!(content == rhs.content))
       return false;
+    if (__isset.fromRevision != rhs.__isset.fromRevision)
+      return false;
+    else if (__isset.fromRevision && !(fromRevision == rhs.fromRevision))
+      return false;
     return true;
   }
   bool operator != (const CopyChunk &rhs) const {
--- a/Libraries/LibMessages/gen/membership_types.cpp
+++ b/Libraries/LibMessages/gen/membership_types.cpp
@@ -82,6 +82,21 @@
   this->revision = val;
 __isset.revision = true;
 }
+
+void MemberUpdate::__set_refutation(const int32_t val) {
+  this->refutation = val;
+__isset.refutation = true;
+}
+
+void MemberUpdate::__set_confirmed(const bool val) {
+  this->confirmed = val;
+__isset.confirmed = true;
+}
+
+void MemberUpdate::__set_dataPort(const int32_t val) {
+  this->dataPort = val;
+__isset.dataPort = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj)
 {
   obj.printTo(out);
@@ -171,6 +186,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refutation);
+          this->__isset.refutation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->dataPort);
+          this->__isset.dataPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -226,6 +265,21 @@
     xfer += oprot->writeI64(this->revision);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.refutation) {
+    xfer += oprot->writeFieldBegin("refutation", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->refutation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.confirmed) {
+    xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 9);
+    xfer += oprot->writeBool(this->confirmed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.dataPort) {
+    xfer += oprot->writeFieldBegin("dataPort", ::apache::thrift::protocol::T_I32, 10);
+    xfer += oprot->writeI32(this->dataPort);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -240,6 +294,9 @@
   swap(a.address, b.address);
   swap(a.port, b.port);
   swap(a.revision, b.revision);
+  swap(a.refutation, b.refutation);
+  swap(a.confirmed, b.confirmed);
+  swap(a.dataPort, b.dataPort);
   swap(a.__isset, b.__isset);
 }
 
@@ -251,6 +308,9 @@
   address = other1.address;
   port = other1.port;
   revision = other1.revision;
+  refutation = other1.refutation;
+  confirmed = other1.confirmed;
+  dataPort = other1.dataPort;
   __isset = other1.__isset;
 }
 MemberUpdate::MemberUpdate(MemberUpdate&& other2) noexcept {
@@ -261,6 +321,9 @@
   address = std::move(other2.address);
   port = other2.port;
   revision = other2.revision;
+  refutation = other2.refutation;
+  confirmed = other2.confirmed;
+  dataPort = other2.dataPort;
   __isset = other2.__isset;
 }
 MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other3) {
@@ -271,6 +334,9 @@
   address = other3.address;
   port = other3.port;
   revision = other3.revision;
+  refutation = other3.refutation;
+  confirmed = other3.confirmed;
+  dataPort = other3.dataPort;
   __isset = other3.__isset;
   return *this;
 }
@@ -282,6 +348,9 @@
   address = std::move(other4.address);
   port = other4.port;
   revision = other4.revision;
+  refutation = other4.refutation;
+  confirmed = other4.confirmed;
+  dataPort = other4.dataPort;
   __isset = other4.__isset;
   return *this;
 }
@@ -295,6 +364,9 @@
   out << ", " << "address="; (__isset.address ? (out << to_string(address)) : (out << "<null>"));
   out << ", " << "port="; (__isset.port ? (out << to_string(port)) : (out << "<null>"));
   out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
+  out << ", " << "refutation="; (__isset.refutation ? (out << to_string(refutation)) : (out << "<null>"));
+  out << ", " << "confirmed="; (__isset.confirmed ? (out << to_string(confirmed)) : (out << "<null>"));
+  out << ", " << "dataPort="; (__isset.dataPort ? (out << to_string(dataPort)) : (out << "<null>"));
   out << ")";
 }
 
@@ -316,6 +388,16 @@
   this->onBehalfOf = val;
 __isset.onBehalfOf = true;
 }
+
+void Ping::__set_revision(const int64_t val) {
+  this->revision = val;
+__isset.revision = true;
+}
+
+void Ping::__set_viewDigest(const int64_t val) {
+  this->viewDigest = val;
+__isset.viewDigest = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -381,6 +463,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->viewDigest);
+          this->__isset.viewDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -422,6 +520,16 @@
     xfer += oprot->writeI64(this->onBehalfOf);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.revision) {
+    xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.viewDigest) {
+    xfer += oprot->writeFieldBegin("viewDigest", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->viewDigest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -432,6 +540,8 @@
   swap(a.sequence, b.sequence);
   swap(a.updates, b.updates);
   swap(a.onBehalfOf, b.onBehalfOf);
+  swap(a.revision, b.revision);
+  swap(a.viewDigest, b.viewDigest);
   swap(a.__isset, b.__isset);
 }
 
@@ -439,18 +549,24 @@
   sequence = other11.sequence;
   updates = other11.updates;
   onBehalfOf = other11.onBehalfOf;
+  revision = other11.revision;
+  viewDigest = other11.viewDigest;
   __isset = other11.__isset;
 }
 Ping::Ping(Ping&& other12) noexcept {
   sequence = other12.sequence;
   updates = std::move(other12.updates);
   onBehalfOf = other12.onBehalfOf;
+  revision = other12.revision;
+  viewDigest = other12.viewDigest;
   __isset = other12.__isset;
 }
 Ping& Ping::operator=(const Ping& other13) {
   sequence = other13.sequence;
   updates = other13.updates;
   onBehalfOf = other13.onBehalfOf;
+  revision = other13.revision;
+  viewDigest = other13.viewDigest;
   __isset = other13.__isset;
   return *this;
 }
@@ -458,6 +574,8 @@
   sequence = other14.sequence;
   updates = std::move(other14.updates);
   onBehalfOf = other14.onBehalfOf;
+  revision = other14.revision;
+  viewDigest = other14.viewDigest;
   __isset = other14.__isset;
   return *this;
 }
@@ -467,6 +585,8 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "updates="; (__isset.updates ? (out << to_string(updates)) : (out << "<null>"));
   out << ", " << "onBehalfOf="; (__isset.onBehalfOf ? (out << to_string(onBehalfOf)) : (out << "<null>"));
+  out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
+  out << ", " << "viewDigest="; (__isset.viewDigest ? (out << to_string(viewDigest)) : (out << "<null>"));
   out << ")";
 }
 
@@ -488,6 +608,26 @@
   this->onBehalfOf = val;
 __isset.onBehalfOf = true;
 }
+
+void Ack::__set_revision(const int64_t val) {
+  this->revision = val;
+__isset.revision = true;
+}
+
+void Ack::__set_viewDigest(const int64_t val) {
+  this->viewDigest = val;
+__isset.viewDigest = true;
+}
+
+void Ack::__set_confirmedIncarnation(const int64_t val) {
+  this->confirmedIncarnation = val;
+__isset.confirmedIncarnation = true;
+}
+
+void Ack::__set_isReceiverUnknown(const bool val) {
+  this->isReceiverUnknown = val;
+__isset.isReceiverUnknown = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ack& obj)
 {
   obj.printTo(out);
@@ -553,6 +693,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->viewDigest);
+          this->__isset.viewDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmedIncarnation);
+          this->__isset.confirmedIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isReceiverUnknown);
+          this->__isset.isReceiverUnknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -594,6 +766,26 @@
     xfer += oprot->writeI64(this->onBehalfOf);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.revision) {
+    xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.viewDigest) {
+    xfer += oprot->writeFieldBegin("viewDigest", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->viewDigest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.confirmedIncarnation) {
+    xfer += oprot->writeFieldBegin("confirmedIncarnation", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->confirmedIncarnation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.isReceiverUnknown) {
+    xfer += oprot->writeFieldBegin("isReceiverUnknown", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->isReceiverUnknown);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -604,6 +796,10 @@
   swap(a.sequence, b.sequence);
   swap(a.updates, b.updates);
   swap(a.onBehalfOf, b.onBehalfOf);
+  swap(a.revision, b.revision);
+  swap(a.viewDigest, b.viewDigest);
+  swap(a.confirmedIncarnation, b.confirmedIncarnation);
+  swap(a.isReceiverUnknown, b.isReceiverUnknown);
   swap(a.__isset, b.__isset);
 }
 
@@ -611,18 +807,30 @@
   sequence = other21.sequence;
   updates = other21.updates;
   onBehalfOf = other21.onBehalfOf;
+  revision = other21.revision;
+  viewDigest = other21.viewDigest;
+  confirmedIncarnation = other21.confirmedIncarnation;
+  isReceiverUnknown = other21.isReceiverUnknown;
   __isset = other21.__isset;
 }
 Ack::Ack(Ack&& other22) noexcept {
   sequence = other22.sequence;
   updates = std::move(other22.updates);
   onBehalfOf = other22.onBehalfOf;
+  revision = other22.revision;
+  viewDigest = other22.viewDigest;
+  confirmedIncarnation = other22.confirmedIncarnation;
+  isReceiverUnknown = other22.isReceiverUnknown;
   __isset = other22.__isset;
 }
 Ack& Ack::operator=(const Ack& other23) {
   sequence = other23.sequence;
   updates = other23.updates;
   onBehalfOf = other23.onBehalfOf;
+  revision = other23.revision;
+  viewDigest = other23.viewDigest;
+  confirmedIncarnation = other23.confirmedIncarnation;
+  isReceiverUnknown = other23.isReceiverUnknown;
   __isset = other23.__isset;
   return *this;
 }
@@ -630,6 +838,10 @@
   sequence = other24.sequence;
   updates = std::move(other24.updates);
   onBehalfOf = other24.onBehalfOf;
+  revision = other24.revision;
+  viewDigest = other24.viewDigest;
+  confirmedIncarnation = other24.confirmedIncarnation;
+  isReceiverUnknown = other24.isReceiverUnknown;
   __isset = other24.__isset;
   return *this;
 }
@@ -639,6 +851,10 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "updates="; (__isset.updates ? (out << to_string(updates)) : (out << "<null>"));
   out << ", " << "onBehalfOf="; (__isset.onBehalfOf ? (out << to_string(onBehalfOf)) : (out << "<null>"));
+  out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
+  out << ", " << "viewDigest="; (__isset.viewDigest ? (out << to_string(viewDigest)) : (out << "<null>"));
+  out << ", " << "confirmedIncarnation="; (__isset.confirmedIncarnation ? (out << to_string(confirmedIncarnation)) : (out << "<null>"));
+  out << ", " << "isReceiverUnknown="; (__isset.isReceiverUnknown ? (out << to_string(isReceiverUnknown)) : (out << "<null>"));
   out << ")";
 }
 
@@ -816,6 +1032,282 @@
 }
 
 
+SyncRequest::~SyncRequest() noexcept {
+}
+
+
+void SyncRequest::__set_afterVm(const int64_t val) {
+  this->afterVm = val;
+}
+
+void SyncRequest::__set_groupDigests(const std::string& val) {
+  this->groupDigests = val;
+__isset.groupDigests = true;
+}
+std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SyncRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_afterVm = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->afterVm);
+          isset_afterVm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->groupDigests);
+          this->__isset.groupDigests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_afterVm)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SyncRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SyncRequest");
+
+  xfer += oprot->writeFieldBegin("afterVm", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->afterVm);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.groupDigests) {
+    xfer += oprot->writeFieldBegin("groupDigests", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->groupDigests);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SyncRequest &a, SyncRequest &b) {
+  using ::std::swap;
+  swap(a.afterVm, b.afterVm);
+  swap(a.groupDigests, b.groupDigests);
+  swap(a.__isset, b.__isset);
+}
+
+SyncRequest::SyncRequest(const SyncRequest& other35) {
+  afterVm = other35.afterVm;
+  groupDigests = other35.groupDigests;
+  __isset = other35.__isset;
+}
+SyncRequest::SyncRequest(SyncRequest&& other36) noexcept {
+  afterVm = other36.afterVm;
+  groupDigests = std::move(other36.groupDigests);
+  __isset = other36.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other37) {
+  afterVm = other37.afterVm;
+  groupDigests = other37.groupDigests;
+  __isset = other37.__isset;
+  return *this;
+}
+SyncRequest& SyncRequest::operator=(SyncRequest&& other38) noexcept {
+  afterVm = other38.afterVm;
+  groupDigests = std::move(other38.groupDigests);
+  __isset = other38.__isset;
+  return *this;
+}
+void SyncRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SyncRequest(";
+  out << "afterVm=" << to_string(afterVm);
+  out << ", " << "groupDigests="; (__isset.groupDigests ? (out << to_string(groupDigests)) : (out << "<null>"));
+  out << ")";
+}
+
+
+SyncReply::~SyncReply() noexcept {
+}
+
+
+void SyncReply::__set_updates(const std::vector<MemberUpdate> & val) {
+  this->updates = val;
+}
+
+void SyncReply::__set_nextAfterVm(const int64_t val) {
+  this->nextAfterVm = val;
+__isset.nextAfterVm = true;
+}
+std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SyncReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_updates = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->updates.clear();
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->updates.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
+            {
+              xfer += this->updates[_i43].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_updates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextAfterVm);
+          this->__isset.nextAfterVm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_updates)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SyncReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SyncReply");
+
+  xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
+    std::vector<MemberUpdate> ::const_iterator _iter44;
+    for (_iter44 = this->updates.begin(); _iter44 != this->updates.end(); ++_iter44)
+    {
+      xfer += (*_iter44).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.nextAfterVm) {
+    xfer += oprot->writeFieldBegin("nextAfterVm", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->nextAfterVm);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SyncReply &a, SyncReply &b) {
+  using ::std::swap;
+  swap(a.updates, b.updates);
+  swap(a.nextAfterVm, b.nextAfterVm);
+  swap(a.__isset, b.__isset);
+}
+
+SyncReply::SyncReply(const SyncReply& other45) {
+  updates = other45.updates;
+  nextAfterVm = other45.nextAfterVm;
+  __isset = other45.__isset;
+}
+SyncReply::SyncReply(SyncReply&& other46) noexcept {
+  updates = std::move(other46.updates);
+  nextAfterVm = other46.nextAfterVm;
+  __isset = other46.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other47) {
+  updates = other47.updates;
+  nextAfterVm = other47.nextAfterVm;
+  __isset = other47.__isset;
+  return *this;
+}
+SyncReply& SyncReply::operator=(SyncReply&& other48) noexcept {
+  updates = std::move(other48.updates);
+  nextAfterVm = other48.nextAfterVm;
+  __isset = other48.__isset;
+  return *this;
+}
+void SyncReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SyncReply(";
+  out << "updates=" << to_string(updates);
+  out << ", " << "nextAfterVm="; (__isset.nextAfterVm ? (out << to_string(nextAfterVm)) : (out << "<null>"));
+  out << ")";
+}
+
+
 MembershipMessage::~MembershipMessage() noexcept {
 }
 
@@ -834,6 +1326,16 @@
   this->pingRequest = val;
 __isset.pingRequest = true;
 }
+
+void MembershipMessage::__set_syncRequest(const SyncRequest& val) {
+  this->syncRequest = val;
+__isset.syncRequest = true;
+}
+
+void MembershipMessage::__set_syncReply(const SyncReply& val) {
+  this->syncReply = val;
+__isset.syncReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipMessage& obj)
 {
   obj.printTo(out);
@@ -886,6 +1388,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->syncRequest.read(iprot);
+          this->__isset.syncRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->syncReply.read(iprot);
+          this->__isset.syncReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -918,6 +1436,16 @@
     xfer += this->pingRequest.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.syncRequest) {
+    xfer += oprot->writeFieldBegin("syncRequest", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->syncRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.syncReply) {
+    xfer += oprot->writeFieldBegin("syncReply", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->syncReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -928,33 +1456,43 @@
   swap(a.ping, b.ping);
   swap(a.ack, b.ack);
   swap(a.pingRequest, b.pingRequest);
+  swap(a.syncRequest, b.syncRequest);
+  swap(a.syncReply, b.syncReply);
   swap(a.__isset, b.__isset);
 }
 
-MembershipMessage::MembershipMessage(const MembershipMessage& other35) {
-  ping = other35.ping;
-  ack = other35.ack;
-  pingRequest = other35.pingRequest;
-  __isset = other35.__isset;
-}
-MembershipMessage::MembershipMessage(MembershipMessage&& other36) noexcept {
-  ping = std::move(other36.ping);
-  ack = std::move(other36.ack);
-  pingRequest = std::move(other36.pingRequest);
-  __isset = other36.__isset;
-}
-MembershipMessage& MembershipMessage::operator=(const MembershipMessage& other37) {
-  ping = other37.ping;
-  ack = other37.ack;
-  pingRequest = other37.pingRequest;
-  __isset = other37.__isset;
+MembershipMessage::MembershipMessage(const MembershipMessage& other49) {
+  ping = other49.ping;
+  ack = other49.ack;
+  pingRequest = other49.pingRequest;
+  syncRequest = other49.syncRequest;
+  syncReply = other49.syncReply;
+  __isset = other49.__isset;
+}
+MembershipMessage::MembershipMessage(MembershipMessage&& other50) noexcept {
+  ping = std::move(other50.ping);
+  ack = std::move(other50.ack);
+  pingRequest = std::move(other50.pingRequest);
+  syncRequest = std::move(other50.syncRequest);
+  syncReply = std::move(other50.syncReply);
+  __isset = other50.__isset;
+}
+MembershipMessage& MembershipMessage::operator=(const MembershipMessage& other51) {
+  ping = other51.ping;
+  ack = other51.ack;
+  pingRequest = other51.pingRequest;
+  syncRequest = other51.syncRequest;
+  syncReply = other51.syncReply;
+  __isset = other51.__isset;
   return *this;
 }
-MembershipMessage& MembershipMessage::operator=(MembershipMessage&& other38) noexcept {
-  ping = std::move(other38.ping);
-  ack = std::move(other38.ack);
-  pingRequest = std::move(other38.pingRequest);
-  __isset = other38.__isset;
+MembershipMessage& MembershipMessage::operator=(MembershipMessage&& other52) noexcept {
+  ping = std::move(other52.ping);
+  ack = std::move(other52.ack);
+  pingRequest = std::move(other52.pingRequest);
+  syncRequest = std::move(other52.syncRequest);
+  syncReply = std::move(other52.syncReply);
+  __isset = other52.__isset;
   return *this;
 }
 void MembershipMessage::printTo(std::ostream& out) const {
@@ -963,6 +1501,8 @@
   out << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
   out << ", " << "ack="; (__isset.ack ? (out << to_string(ack)) : (out << "<null>"));
   out << ", " << "pingRequest="; (__isset.pingRequest ? (out << to_string(pingRequest)) : (out << "<null>"));
+  out << ", " << "syncRequest="; (__isset.syncRequest ? (out << to_string(syncRequest)) : (out << "<null>"));
+  out << ", " << "syncReply="; (__isset.syncReply ? (out << to_string(syncReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/membership_types.h
+++ b/Libraries/LibMessages/gen/membership_types.h
@@ -44,14 +44,21 @@
 
 class PingRequest;
 
+class SyncRequest;
+
+class SyncReply;
+
 class MembershipMessage;
 
 typedef struct _MemberUpdate__isset {
-  _MemberUpdate__isset() : zone(false), address(false), port(false), revision(false) {}
+  _MemberUpdate__isset() : zone(false), address(false), port(false), revision(false), refutation(false), confirmed(false), dataPort(false) {}
   bool zone :1;
   bool address :1;
   bool port :1;
   bool revision :1;
+  bool refutation :1;
+  bool confirmed :1;
+  bool dataPort :1;
 } _MemberUpdate__isset;
 
 class MemberUpdate : public virtual ::apache::thrift::TBase {
@@ -68,7 +75,10 @@
                  zone(0),
                  address(),
                  port(0),
-                 revision(0) {
+                 revision(0),
+                 refutation(0),
+                 confirmed(0),
+                 dataPort(0) {
   }
 
   virtual ~MemberUpdate() noexcept;
@@ -83,6 +93,9 @@
   std::string address;
   int32_t port;
   int64_t revision;
+  int32_t refutation;
+  bool confirmed;
+  int32_t dataPort;
 
   _MemberUpdate__isset __isset;
 
@@ -100,6 +113,12 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_refutation(const int32_t val);
+
+  void __set_confirmed(const bool val);
+
+  void __set_dataPort(const int32_t val);
+
   bool operator == (const MemberUpdate & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -124,6 +143,18 @@
       return false;
     else if (__isset.revision && !(revision == rhs.revision))
       return false;
+    if (__isset.refutation != rhs.__isset.refutation)
+      return false;
+    else if (__isset.refutation && !(refutation == rhs.refutation))
+      return false;
+    if (__isset.confirmed != rhs.__isset.confirmed)
+      return false;
+    else if (__isset.confirmed && !(confirmed == rhs.confirmed))
+      return false;
+    if (__isset.dataPort != rhs.__isset.dataPort)
+      return false;
+    else if (__isset.dataPort && !(dataPort == rhs.dataPort))
+      return false;
     return true;
   }
   bool operator != (const MemberUpdate &rhs) const {
@@ -143,9 +174,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : updates(false), onBehalfOf(false) {}
+  _Ping__isset() : updates(false), onBehalfOf(false), revision(false), viewDigest(false) {}
   bool updates :1;
   bool onBehalfOf :1;
+  bool revision :1;
+  bool viewDigest :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -157,13 +190,17 @@
   Ping& operator=(Ping&&) noexcept;
   Ping() noexcept
        : sequence(0),
-         onBehalfOf(0) {
+         onBehalfOf(0),
+         revision(0),
+         viewDigest(0) {
   }
 
   virtual ~Ping() noexcept;
   int64_t sequence;
   std::vector<MemberUpdate>  updates;
   int64_t onBehalfOf;
+  int64_t revision;
+  int64_t viewDigest;
 
   _Ping__isset __isset;
 
@@ -173,6 +210,10 @@
 
   void __set_onBehalfOf(const int64_t val);
 
+  void __set_revision(const int64_t val);
+
+  void __set_viewDigest(const int64_t val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -185,6 +226,14 @@
       return false;
     else if (__isset.onBehalfOf && !(onBehalfOf == rhs.onBehalfOf))
       return false;
+    if (__isset.revision != rhs.__isset.revision)
+      return false;
+    else if (__isset.revision && !(revision == rhs.revision))
+      return false;
+    if (__isset.viewDigest != rhs.__isset.viewDigest)
+      return false;
+    else if (__isset.viewDigest && !(viewDigest == rhs.viewDigest))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -204,9 +253,13 @@
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
 typedef struct _Ack__isset {
-  _Ack__isset() : updates(false), onBehalfOf(false) {}
+  _Ack__isset() : updates(false), onBehalfOf(false), revision(false), viewDigest(false), confirmedIncarnation(false), isReceiverUnknown(false) {}
   bool updates :1;
   bool onBehalfOf :1;
+  bool revision :1;
+  bool viewDigest :1;
+  bool confirmedIncarnation :1;
+  bool isReceiverUnknown :1;
 } _Ack__isset;
 
 class Ack : public virtual ::apache::thrift::TBase {
@@ -218,13 +271,21 @@
   Ack& operator=(Ack&&) noexcept;
   Ack() noexcept
       : sequence(0),
-        onBehalfOf(0) {
+        onBehalfOf(0),
+        revision(0),
+        viewDigest(0),
+        confirmedIncarnation(0),
+        isReceiverUnknown(0) {
   }
 
   virtual ~Ack() noexcept;
   int64_t sequence;
   std::vector<MemberUpdate>  updates;
   int64_t onBehalfOf;
+  int64_t revision;
+  int64_t viewDigest;
+  int64_t confirmedIncarnation;
+  bool isReceiverUnknown;
 
   _Ack__isset __isset;
 
@@ -234,6 +295,14 @@
 
   void __set_onBehalfOf(const int64_t val);
 
+  void __set_revision(const int64_t val);
+
+  void __set_viewDigest(const int64_t val);
+
+  void __set_confirmedIncarnation(const int64_t val);
+
+  void __set_isReceiverUnknown(const bool val);
+
   bool operator == (const Ack & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -246,6 +315,22 @@
       return false;
     else if (__isset.onBehalfOf && !(onBehalfOf == rhs.onBehalfOf))
       return false;
+    if (__isset.revision != rhs.__isset.revision)
+      return false;
+    else if (__isset.revision && !(revision == rhs.revision))
+      return false;
+    if (__isset.viewDigest != rhs.__isset.viewDigest)
+      return false;
+    else if (__isset.viewDigest && !(viewDigest == rhs.viewDigest))
+      return false;
+    if (__isset.confirmedIncarnation != rhs.__isset.confirmedIncarnation)
+      return false;
+    else if (__isset.confirmedIncarnation && !(confirmedIncarnation == rhs.confirmedIncarnation))
+      return false;
+    if (__isset.isReceiverUnknown != rhs.__isset.isReceiverUnknown)
+      return false;
+    else if (__isset.isReceiverUnknown && !(isReceiverUnknown == rhs.isReceiverUnknown))
+      return false;
     return true;
   }
   bool operator != (const Ack &rhs) const {
@@ -322,11 +407,118 @@
 
 std::ostream& operator<<(std::ostream& out, const PingRequest& obj);
 
+typedef struct _SyncRequest__isset {
+  _SyncRequest__isset() : groupDigests(false) {}
+  bool groupDigests :1;
+} _SyncRequest__isset;
+
+class SyncRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  SyncRequest(const SyncRequest&);
+  SyncRequest(SyncRequest&&) noexcept;
+  SyncRequest& operator=(const SyncRequest&);
+  SyncRequest& operator=(SyncRequest&&) noexcept;
+  SyncRequest() noexcept
+              : afterVm(0),
+                groupDigests() {
+  }
+
+  virtual ~SyncRequest() noexcept;
+  int64_t afterVm;
+  std::string groupDigests;
+
+  _SyncRequest__isset __isset;
+
+  void __set_afterVm(const int64_t val);
+
+  void __set_groupDigests(const std::string& val);
+
+  bool operator == (const SyncRequest & rhs) const
+  {
+    if (!(afterVm == rhs.afterVm))
+      return false;
+    if (__isset.groupDigests != rhs.__isset.groupDigests)
+      return false;
+    else if (__isset.groupDigests && !(groupDigests == rhs.groupDigests))
+      return false;
+    return true;
+  }
+  bool operator != (const SyncRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SyncRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SyncRequest &a, SyncRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
+
+typedef struct _SyncReply__isset {
+  _SyncReply__isset() : nextAfterVm(false) {}
+  bool nextAfterVm :1;
+} _SyncReply__isset;
+
+class SyncReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  SyncReply(const SyncReply&);
+  SyncReply(SyncReply&&) noexcept;
+  SyncReply& operator=(const SyncReply&);
+  SyncReply& operator=(SyncReply&&) noexcept;
+  SyncReply() noexcept
+            : nextAfterVm(0) {
+  }
+
+  virtual ~SyncReply() noexcept;
+  std::vector<MemberUpdate>  updates;
+  int64_t nextAfterVm;
+
+  _SyncReply__isset __isset;
+
+  void __set_updates(const std::vector<MemberUpdate> & val);
+
+  void __set_nextAfterVm(const int64_t val);
+
+  bool operator == (const SyncReply & rhs) const
+  {
+    if (!(updates == rhs.updates))
+      return false;
+    if (__isset.nextAfterVm != rhs.__isset.nextAfterVm)
+      return false;
+    else if (__isset.nextAfterVm && !(nextAfterVm == rhs.nextAfterVm))
+      return false;
+    return true;
+  }
+  bool operator != (const SyncReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SyncReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SyncReply &a, SyncReply &b);
+
+std::ostream& operator<<(std::ostream& out, const SyncReply& obj);
+
 typedef struct _MembershipMessage__isset {
-  _MembershipMessage__isset() : ping(false), ack(false), pingRequest(false) {}
+  _MembershipMessage__isset() : ping(false), ack(false), pingRequest(false), syncRequest(false), syncReply(false) {}
   bool ping :1;
   bool ack :1;
   bool pingRequest :1;
+  bool syncRequest :1;
+  bool syncReply :1;
 } _MembershipMessage__isset;
 
 class MembershipMessage : public virtual ::apache::thrift::TBase {
@@ -343,6 +535,8 @@
   Ping ping;
   Ack ack;
   PingRequest pingRequest;
+  SyncRequest syncRequest;
+  SyncReply syncReply;
 
   _MembershipMessage__isset __isset;
 
@@ -352,6 +546,10 @@
 
   void __set_pingRequest(const PingRequest& val);
 
+  void __set_syncRequest(const SyncRequest& val);
+
+  void __set_syncReply(const SyncReply& val);
+
   bool operator == (const MembershipMessage & rhs) const
   {
     if (__isset.ping != rhs.__isset.ping)
@@ -366,6 +564,14 @@
       return false;
     else if (__isset.pingRequest && !(pingRequest == rhs.pingRequest))
       return false;
+    if (__isset.syncRequest != rhs.__isset.syncRequest)
+      return false;
+    else if (__isset.syncRequest && !(syncRequest == rhs.syncRequest))
+      return false;
+    if (__isset.syncReply != rhs.__isset.syncReply)
+      return false;
+    else if (__isset.syncReply && !(syncReply == rhs.syncReply))
+      return false;
     return true;
   }
   bool operator != (const MembershipMessage &rhs) const {
--- /dev/null
+++ b/Tests/LibMembership/TestFleet.cpp
@@ -0,0 +1,379 @@
+#include <HarnessControl/Fleet.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Benchmarks::Fleet;
+using Benchmarks::FleetOptions;
+using Membership::MemberState;
+
+namespace Data = boost::unit_test::data;
+
+BOOST_AUTO_TEST_SUITE(TestMembershipFleet)
+
+static std::unique_ptr<Fleet> convergedFleet(FleetOptions options)
+{
+    auto fleet = std::make_unique<Fleet>(std::move(options));
+    fleet->startAll();
+    BOOST_TEST_REQUIRE(fleet->runUntil([&] { return fleet->isConverged(); }, 20s).has_value());
+    return fleet;
+}
+
+static bool isSeenByAll(Fleet& fleet, std::size_t subject, std::function<bool(MemberState)> const& condition)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (i != subject && fleet.node(i).isRunning && !condition(fleet.stateSeenBy(i, subject)))
+            return false;
+    }
+    return true;
+}
+
+static bool isGone(MemberState state) { return state == MemberState::Unreachable || state == MemberState::Dead; }
+
+/// Pairs of running members of which one counts the other as gone.
+static std::size_t falsePositives(Fleet& fleet)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        for (std::size_t j = 0; j < fleet.size(); ++j)
+            count += i != j && isGone(fleet.stateSeenBy(i, j)) ? 1 : 0;
+    }
+    return count;
+}
+
+struct Shape {
+    std::size_t nodes;
+    std::size_t zones;
+    double loss;
+
+    friend std::ostream& operator<<(std::ostream& stream, Shape const& shape)
+    {
+        return stream << shape.nodes << " nodes, " << shape.zones << " zones, loss " << shape.loss;
+    }
+};
+
+static std::vector<Shape> const s_shapes { { 2, 1, 0 }, { 4, 4, 0 }, { 5, 3, 0.05 }, { 30, 3, 0 }, { 60, 9, 0.05 } };
+
+BOOST_DATA_TEST_CASE(CrashIsDetectedEverywhere, Data::make(s_shapes), shape)
+{
+    // Guards against a crashed member that stays in some member's list, also under loss, reordering and duplication.
+    auto owner = convergedFleet({ .nodes = shape.nodes,
+        .zones = shape.zones,
+        .seed = 3,
+        .loss = shape.loss,
+        .duplication = 0.1,
+        .maximumDelay = 80ms });
+    auto& fleet = *owner;
+    fleet.run(5s);
+    auto victim = shape.nodes - 1;
+    fleet.crash(victim);
+    auto detected = fleet.runUntil([&] { return isSeenByAll(fleet, victim, isGone); }, 20s);
+    BOOST_TEST_REQUIRE(detected.has_value());
+    BOOST_TEST(falsePositives(fleet) == shape.nodes - 1);
+    fleet.start(victim);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isConverged(); }, 15s).has_value());
+}
+
+BOOST_DATA_TEST_CASE(LossAloneKillsNobody, Data::make({ 0.05, 0.2 }), loss)
+{
+    // Guards against a member declared dead because messages are lost.
+    auto owner = convergedFleet({ .nodes = 20, .zones = 4, .seed = 5 });
+    auto& fleet = *owner;
+    fleet.setLoss(loss);
+    std::size_t wrong = 0;
+    for (int second = 0; second < 60; ++second) {
+        fleet.run(1s);
+        wrong += falsePositives(fleet);
+    }
+    BOOST_TEST(wrong == 0U);
+}
+
+struct Cut {
+    std::string_view name;
+    std::function<bool(std::size_t, std::size_t)> isConnected;
+
+    friend std::ostream& operator<<(std::ostream& stream, Cut const& cut) { return stream << cut.name; }
+};
+
+static std::vector<Cut> const s_cuts {
+    { "one way between two members", [](std::size_t from, std::size_t to) { return !(from == 0 && to == 1); } },
+    { "both ways between two members", [](std::size_t from, std::size_t to) { return from + to != 1; } },
+};
+
+BOOST_DATA_TEST_CASE(CutBetweenTwoMembersKillsNobody, Data::make(s_cuts), cut)
+{
+    // Guards against a member declared dead that only one other member can't reach.
+    auto owner = convergedFleet({ .nodes = 6, .zones = 2, .seed = 7 });
+    auto& fleet = *owner;
+    fleet.isConnected = cut.isConnected;
+    std::size_t wrong = 0;
+    for (int second = 0; second < 30; ++second) {
+        fleet.run(1s);
+        wrong += falsePositives(fleet);
+    }
+    BOOST_TEST(wrong == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(MemberThatOnlyHearsIsDeclaredDeadOnce)
+{
+    // Guards against endless new incarnations of a member whose messages don't get out.
+    auto owner = convergedFleet({ .nodes = 6, .zones = 2, .seed = 8 });
+    auto& fleet = *owner;
+    auto before = fleet.node(0).incarnation;
+    fleet.isConnected = [](std::size_t from, std::size_t) { return from != 0; };
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return isSeenByAll(fleet, 0, isGone); }, 15s).has_value());
+    fleet.run(20s);
+    BOOST_TEST(isSeenByAll(fleet, 0, isGone));
+    BOOST_TEST(fleet.node(0).incarnation.value() == before.value() + 1);
+    BOOST_TEST(!fleet.node(0).membership->isConfirmed());
+    fleet.isConnected = [](std::size_t, std::size_t) { return true; };
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isConverged(); }, 10s).has_value());
+    BOOST_TEST(fleet.node(0).membership->isConfirmed());
+}
+
+BOOST_AUTO_TEST_CASE(LateMessagesDoNotReviveTheDead)
+{
+    // Guards against a delayed message of a crashed process, or about it, that brings it back.
+    auto owner = convergedFleet({ .nodes = 5, .zones = 2, .seed = 9 });
+    auto& fleet = *owner;
+    fleet.crash(4);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return isSeenByAll(fleet, 4, isGone); }, 15s).has_value());
+
+    auto const& dead = fleet.node(4);
+    Messages::MemberUpdate update;
+    update.vm = static_cast<std::int64_t>(dead.vm.value());
+    update.incarnation = static_cast<std::int64_t>(dead.incarnation.value());
+    update.__set_address(std::string(16, '\0'));
+    update.__set_port(dead.endpoint.port);
+    for (int refutation : { 0, 1, 100 }) {
+        for (auto state :
+            { Messages::MemberState::Alive, Messages::MemberState::Suspect, Messages::MemberState::Leaving }) {
+            update.state = state;
+            update.__set_refutation(refutation);
+            Messages::Ack acknowledgement;
+            acknowledgement.sequence = 1;
+            acknowledgement.__set_updates({ update });
+            Messages::MembershipMessage message;
+            message.__set_ack(acknowledgement);
+            fleet.node(0).membership->receive(dead.vm, dead.incarnation, message, dead.endpoint);
+            fleet.node(1).membership->receive(fleet.node(2).vm, fleet.node(2).incarnation, message, dead.endpoint);
+        }
+    }
+    for (int second = 0; second < 10; ++second) {
+        fleet.run(1s);
+        BOOST_TEST(isSeenByAll(fleet, 4, isGone));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(PausedProcessActsOnlyAfterConfirmation)
+{
+    // Guards against a process that resumes after it was replaced and goes on as if nothing had happened.
+    auto owner = convergedFleet({ .nodes = 5, .zones = 3, .seed = 10 });
+    auto& fleet = *owner;
+    fleet.run(5s);
+    auto before = fleet.node(2).incarnation;
+    fleet.pause(2);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return isSeenByAll(fleet, 2, isGone); }, 15s).has_value());
+    BOOST_TEST(!fleet.node(2).membership->isConfirmed());
+    fleet.resume(2);
+    bool wasConfirmedTooEarly = false;
+    auto back = fleet.runUntil(
+        [&] {
+            bool isConfirmed = fleet.node(2).membership->isConfirmed();
+            wasConfirmedTooEarly |= isConfirmed && fleet.node(2).incarnation <= before;
+            return isConfirmed && fleet.isConverged();
+        },
+        10s);
+    BOOST_TEST(back.has_value());
+    BOOST_TEST(!wasConfirmedTooEarly);
+}
+
+BOOST_AUTO_TEST_CASE(PausedProcessAccusesNobody)
+{
+    // Guards against a resumed process that takes its own pause for the silence of the others.
+    auto owner = convergedFleet({ .nodes = 8, .zones = 2, .seed = 11 });
+    auto& fleet = *owner;
+    for (int round = 0; round < 5; ++round) {
+        fleet.pause(1);
+        fleet.run(2500ms);
+        fleet.resume(1);
+        fleet.run(4s);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            BOOST_TEST(!isGone(fleet.stateSeenBy(1, i)));
+    }
+}
+
+struct Split {
+    std::size_t nodes;
+    std::size_t zones;
+    std::size_t parts;
+
+    friend std::ostream& operator<<(std::ostream& stream, Split const& split)
+    {
+        return stream << split.nodes << " nodes in " << split.parts << " parts";
+    }
+};
+
+static std::vector<Split> const s_splits { { 5, 3, 2 }, { 4, 4, 4 }, { 40, 4, 2 }, { 60, 6, 3 } };
+
+BOOST_DATA_TEST_CASE(PartitionGoesOnAndMerges, Data::make(s_splits), split)
+{
+    // Guards against parts that stay apart after the network has healed, and against a merge in which a member's own
+    // side declares it dead because the other side had done so.
+    auto owner = convergedFleet({ .nodes = split.nodes, .zones = split.zones, .seed = 12 });
+    auto& fleet = *owner;
+    auto partOf = [parts = split.parts](std::size_t index) { return index % parts; };
+    fleet.isConnected = [=](std::size_t from, std::size_t to) { return partOf(from) == partOf(to); };
+    auto isSplit = [&] {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            for (std::size_t j = 0; j < fleet.size(); ++j) {
+                if (isGone(fleet.stateSeenBy(i, j)) != (partOf(i) != partOf(j)))
+                    return false;
+            }
+        }
+        return true;
+    };
+    BOOST_TEST_REQUIRE(fleet.runUntil(isSplit, 60s).has_value());
+    fleet.run(20s);
+    BOOST_TEST(isSplit());
+
+    fleet.isConnected = [](std::size_t, std::size_t) { return true; };
+    std::size_t wrong = 0;
+    auto merged = fleet.runUntil(
+        [&] {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                for (std::size_t j = 0; j < fleet.size(); ++j)
+                    wrong += partOf(i) == partOf(j) && isGone(fleet.stateSeenBy(i, j)) ? 1 : 0;
+            }
+            return fleet.isConverged();
+        },
+        15s);
+    BOOST_TEST(merged.has_value());
+    BOOST_TEST(wrong == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(GracefulLeaveIsNoFailure)
+{
+    // Guards against a leaving member that is suspected or still counts as possibly serving after it has gone.
+    auto owner = convergedFleet({ .nodes = 10, .zones = 2, .seed = 13 });
+    auto& fleet = *owner;
+    fleet.run(3s);
+    fleet.node(4).membership->announceLeave();
+    auto isLeaving = [](MemberState state) { return state == MemberState::Leaving; };
+    BOOST_TEST(fleet.runUntil([&] { return isSeenByAll(fleet, 4, isLeaving); }, 3s).has_value());
+    fleet.run(5s);
+    BOOST_TEST(isSeenByAll(fleet, 4, isLeaving));
+    fleet.crash(4);
+    auto isDead = [](MemberState state) { return state == MemberState::Dead; };
+    BOOST_TEST(fleet.runUntil([&] { return isSeenByAll(fleet, 4, isDead); }, 15s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DeadAreForgottenAfterABound)
+{
+    // Guards against a list that grows with every VM that was ever replaced.
+    FleetOptions options { .nodes = 4, .zones = 2, .seed = 14 };
+    options.membership.deadRetention = 2min;
+    options.membership.unreachableRetention = 5min;
+    auto owner = convergedFleet(options);
+    auto& fleet = *owner;
+    fleet.node(3).membership->announceLeave();
+    fleet.run(2s);
+    fleet.crash(3);
+    fleet.crash(2);
+    fleet.run(60s);
+    BOOST_TEST(fleet.isKnownBy(0, 3));
+    fleet.run(2min);
+    BOOST_TEST(!fleet.isKnownBy(0, 3));
+    BOOST_TEST(fleet.isKnownBy(0, 2));
+    fleet.run(4min);
+    BOOST_TEST(!fleet.isKnownBy(0, 2));
+}
+
+static std::vector<Membership::PlatformVm> listOf(Fleet& fleet, std::vector<std::size_t> const& indices)
+{
+    std::vector<Membership::PlatformVm> list;
+    for (auto index : indices)
+        list.push_back({ fleet.node(index).vm, fleet.node(index).endpoint, false });
+    return list;
+}
+
+BOOST_AUTO_TEST_CASE(VmListOnlyConfirms)
+{
+    // Guards against a lagging list that adds, revives or removes a member by itself.
+    auto owner = convergedFleet({ .nodes = 4, .zones = 2, .seed = 15 });
+    auto& fleet = *owner;
+    auto& observer = *fleet.node(0).membership;
+    observer.applyVmList(listOf(fleet, { 0, 1, 2, 3 }));
+    fleet.run(20s);
+    observer.applyVmList(listOf(fleet, { 0 }));
+    BOOST_TEST((fleet.stateSeenBy(0, 1) == MemberState::Alive));
+
+    fleet.crash(3);
+    observer.applyVmList(listOf(fleet, { 0, 1, 2, 3 }));
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return isSeenByAll(fleet, 3, isGone); }, 15s).has_value());
+    observer.applyVmList(listOf(fleet, { 0, 1, 2, 3 }));
+    BOOST_TEST((fleet.stateSeenBy(0, 3) == MemberState::Unreachable));
+    fleet.run(5s);
+    // A replica of the platform may show an older list for a moment.
+    observer.applyVmList(listOf(fleet, { 0, 1 }));
+    BOOST_TEST((fleet.stateSeenBy(0, 3) == MemberState::Unreachable));
+    observer.applyVmList({});
+    fleet.run(10s);
+    observer.applyVmList(listOf(fleet, { 0, 1, 2 }));
+    BOOST_TEST((fleet.stateSeenBy(0, 3) == MemberState::Dead));
+    // The others learn what one member knows of the list.
+    auto isDead = [](MemberState state) { return state == MemberState::Dead; };
+    BOOST_TEST(fleet.runUntil([&] { return isSeenByAll(fleet, 3, isDead); }, 10s).has_value());
+    observer.applyVmList(listOf(fleet, { 0, 1, 2, 3 }));
+    BOOST_TEST((fleet.stateSeenBy(0, 3) == MemberState::Dead));
+}
+
+BOOST_AUTO_TEST_CASE(VmListIsASeed)
+{
+    // Guards against a newcomer whose configured seeds are all gone.
+    auto owner = convergedFleet({ .nodes = 6, .zones = 2, .seed = 16 });
+    auto& fleet = *owner;
+    for (std::size_t seed : { 0, 2, 4 })
+        fleet.crash(seed);
+    fleet.run(20s);
+    fleet.crash(5);
+    fleet.run(10s);
+    fleet.start(5);
+    fleet.node(5).membership->applyVmList(listOf(fleet, { 0, 1, 3, 5 }));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isConverged(); }, 20s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(CostDoesNotGrowWithTheFleet)
+{
+    // Guards against messages or message sizes that grow with the number of members.
+    auto bytesPerNode = [](std::size_t nodes) {
+        auto owner = convergedFleet({ .nodes = nodes, .zones = 3, .seed = 17, .isSealed = true });
+        auto& fleet = *owner;
+        fleet.run(30s);
+        fleet.resetTraffic();
+        fleet.run(30s);
+        return static_cast<double>(fleet.totalTraffic().bytes) / 30 / static_cast<double>(nodes);
+    };
+    auto small = bytesPerNode(9);
+    BOOST_TEST(bytesPerNode(90) <= small * 1.1);
+    BOOST_TEST(small < 2000);
+}
+
+BOOST_AUTO_TEST_CASE(RestartWithTheSameIncarnationTakesAGreaterOne)
+{
+    // Guards against a VM whose clock went back, so that its new process is taken for the old one.
+    auto owner = convergedFleet({ .nodes = 4, .zones = 2, .seed = 18 });
+    auto& fleet = *owner;
+    fleet.crash(3);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return isSeenByAll(fleet, 3, isGone); }, 15s).has_value());
+    auto before = fleet.node(3).incarnation;
+    fleet.node(3).incarnation = Core::Incarnation { before.value() - 1000 };
+    fleet.start(3);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isConverged(); }, 10s).has_value());
+    BOOST_TEST(fleet.node(3).incarnation.value() > before.value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -0,0 +1,124 @@
+#include <LibMembership/MemberTable.h>
+#include <LibMembership/ProbeOrder.h>
+#include <LibMembership/UpdateQueue.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace Chicorytally;
+using namespace Chicorytally::Membership;
+
+BOOST_AUTO_TEST_SUITE(TestMemberTable)
+
+static Messages::MemberUpdate updateOf(
+    std::uint64_t vm, std::uint64_t incarnation, Messages::MemberState::type state, int refutation)
+{
+    Messages::MemberUpdate update;
+    update.vm = static_cast<std::int64_t>(vm);
+    update.incarnation = static_cast<std::int64_t>(incarnation);
+    update.state = state;
+    update.__set_refutation(refutation);
+    update.__set_address(std::string(16, '\1'));
+    update.__set_port(7);
+    return update;
+}
+
+static Core::TimePoint const s_start { std::chrono::hours { 1 } };
+
+BOOST_AUTO_TEST_CASE(UpdatesNeverGoBack)
+{
+    // Guards against any order of late and repeated updates that takes a member back to an earlier state.
+    rc::detail::TestMetadata metadata;
+    metadata.id = "UpdatesNeverGoBack";
+    auto property = [] {
+        MemberTable table;
+        auto count = *rc::gen::inRange(1, 40);
+        for (int i = 0; i < count; ++i) {
+            auto state = static_cast<Messages::MemberState::type>(*rc::gen::inRange(1, 5));
+            auto update
+                = updateOf(1, static_cast<std::uint64_t>(*rc::gen::inRange(1, 4)), state, *rc::gen::inRange(0, 4));
+            std::optional<Entry> before;
+            if (auto const* entry = table.find(Core::VmId { 1 }))
+                before = *entry;
+            table.merge(update, s_start);
+            auto const& after = *table.find(Core::VmId { 1 });
+            if (!before)
+                continue;
+            RC_ASSERT(after.incarnation >= before->incarnation);
+            if (after.incarnation != before->incarnation)
+                continue;
+            RC_ASSERT(after.refutation >= before->refutation || after.condition >= Condition::Leaving);
+            RC_ASSERT(before->condition < Condition::Leaving || after.condition >= before->condition);
+            // A death is never taken from hearsay.
+            RC_ASSERT(after.condition != Condition::Dead || before->condition == Condition::Dead);
+        }
+    };
+    rc::detail::TestParams parameters;
+    parameters.seed = 4711;
+    parameters.maxSuccess = 300;
+    auto result = rc::detail::checkTestable(property, metadata, parameters);
+    BOOST_TEST(result.template is<rc::detail::SuccessResult>());
+}
+
+BOOST_AUTO_TEST_CASE(DigestFollowsTheReachableMembers)
+{
+    // Guards against two equal lists with different digests, which would synchronise for ever, and the reverse.
+    MemberTable first;
+    MemberTable second;
+    for (std::uint64_t vm = 1; vm <= 50; ++vm) {
+        first.merge(updateOf(vm, 1, Messages::MemberState::Alive, 0), s_start);
+        second.merge(updateOf(51 - vm, 1, Messages::MemberState::Alive, 0), s_start);
+    }
+    BOOST_TEST(first.groupDigests() == second.groupDigests());
+    first.merge(updateOf(3, 1, Messages::MemberState::Suspect, 0), s_start);
+    BOOST_TEST(first.groupDigests() == second.groupDigests());
+    first.declareDead(Core::VmId { 3 }, s_start);
+    BOOST_TEST(first.groupDigests() != second.groupDigests());
+    second.erase(Core::VmId { 3 });
+    BOOST_TEST(first.groupDigests() == second.groupDigests());
+    second.merge(updateOf(4, 2, Messages::MemberState::Alive, 0), s_start);
+    BOOST_TEST(first.groupDigests() != second.groupDigests());
+}
+
+BOOST_AUTO_TEST_CASE(RoundVisitsEachMemberOnce)
+{
+    // Guards against a member that the random choice leaves out for long.
+    ProbeOrder order { 5 };
+    std::vector<Core::VmId> members;
+    for (std::uint64_t vm = 1; vm <= 20; ++vm)
+        members.emplace_back(vm);
+    order.assign(members);
+    for (int i = 0; i < 7; ++i)
+        order.next();
+    // A change in the middle of a round keeps the places.
+    order.assign(members);
+    for (int round = 0; round < 3; ++round) {
+        std::set<Core::VmId> visited;
+        for (std::size_t i = 0; i < 2 * members.size(); ++i)
+            visited.insert(*order.next());
+        BOOST_TEST(visited.size() == members.size());
+    }
+    order.assign({});
+    BOOST_TEST(!order.next().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(UpdateIsSentABoundedNumberOfTimes)
+{
+    // Guards against updates that travel for ever, and against a new one that waits behind old ones.
+    UpdateQueue queue;
+    for (std::uint64_t vm = 1; vm <= 8; ++vm)
+        queue.add(Core::VmId { vm });
+    std::size_t taken = 0;
+    queue.take(8, 3);
+    taken += 8;
+    queue.add(Core::VmId { 9 });
+    BOOST_TEST((queue.take(1, 3).front() == Core::VmId { 9 }));
+    ++taken;
+    while (queue.size() > 0)
+        taken += queue.take(5, 3).size();
+    BOOST_TEST(taken == 9U * 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
