LibConfig: Check the full schema with positions

Cause: the thin reader took unknown keys and wrong values silently and gave faults no remedy. Change: PositionedTable keeps file, line and column of each key through the merge; TableReader checks types and ranges; Validator checks zone names, overlapping addresses and address families. All faults are collected and sorted. An upstream that has the IP address of a service is a fault too, because its packets would return to the balancers.

--- a/Libraries/LibConfig/Parser.cpp
+++ b/Libraries/LibConfig/Parser.cpp
@@ -1,83 +1,69 @@
 #include <LibConfig/Parser.h>
+#include <LibConfig/Validator.h>
+
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <toml++/toml.h>
 
 namespace Chicorytally::Config {
 
-static void mergeTable(toml::table& into, toml::table const& from)
+// The platform holds values of up to 1 MB.
+static constexpr std::size_t MaxFileSize = 1'048'576;
+
+static std::vector<SourceFile const*> sortedByName(std::vector<SourceFile> const& files)
 {
-    for (auto const& [key, node] : from) {
-        auto* present = into.get(key);
-        if (present && present->is_table() && node.is_table())
-            mergeTable(*present->as_table(), *node.as_table());
-        else
-            into.insert_or_assign(key, node);
-    }
+    std::vector<SourceFile const*> sorted;
+    sorted.reserve(files.size());
+    for (auto const& file : files)
+        sorted.push_back(&file);
+    std::ranges::sort(sorted, {}, [](SourceFile const* file) -> std::string const& { return file->name; });
+    return sorted;
 }
 
-// FIXME: Only the keys of the first end-to-end run are read, and faults carry no remedy; the full schema follows.
-static void readUpstreams(toml::table const& table, Model::Service& service)
+static void checkFiles(std::vector<SourceFile const*> const& files, FaultList& list)
 {
-    for (auto const& [name, node] : table) {
-        auto const& values = *node.as_table();
-        Model::Upstream upstream;
-        upstream.name = name.str();
-        upstream.address.address = *Core::IpAddress::parse(values["address"].value_or(std::string_view {}));
-        upstream.address.port = values["port"].value_or(std::uint16_t { 0 });
-        upstream.zone = Model::zoneId(values["zone"].value_or(std::string_view {}));
-        upstream.id = Model::upstreamId(service.id, upstream.name, upstream.address);
-        service.upstreams.push_back(std::move(upstream));
+    // An empty set is what a folder that was not mounted looks like; it must not take all services out.
+    if (files.empty())
+        list.add({ "(no file)" }, "there is no configuration file", "add at least one file whose name ends in .toml");
+    for (std::size_t i = 0; i < files.size(); ++i) {
+        if (i > 0 && files[i]->name == files[i - 1]->name)
+            list.add({ files[i]->name }, "the file name stands twice in the set", "give each file its own name");
     }
-    std::ranges::sort(service.upstreams, {}, &Model::Upstream::id);
 }
 
-static Model::Configuration build(toml::table const& root)
+static PositionedTable mergeFiles(std::vector<SourceFile const*> const& files, FaultList& list)
 {
-    Model::Configuration configuration;
-    if (auto const* services = root["service"].as_table()) {
-        for (auto const& [name, node] : *services) {
-            auto const& values = *node.as_table();
-            Model::Service service;
-            service.name = name.str();
-            service.address.address = *Core::IpAddress::parse(values["address"].value_or(std::string_view {}));
-            service.address.port = values["port"].value_or(std::uint16_t { 0 });
-            service.protocol = values["protocol"].value_or(std::string_view { "tcp" }) == "udp" ? Core::Protocol::Udp
-                                                                                                : Core::Protocol::Tcp;
-            service.id = Model::serviceId(service.name, service.address, service.protocol);
-            if (auto const* upstreams = values["upstream"].as_table())
-                readUpstreams(*upstreams, service);
-            configuration.services.push_back(std::move(service));
-        }
-    }
-    if (auto const* zones = root["zone"].as_table()) {
-        for (auto const& [name, node] : *zones) {
-            auto isOut = (*node.as_table())["state"].value_or(std::string_view { "in" }) == "out";
-            auto state = isOut ? Model::ZoneState::Out : Model::ZoneState::In;
-            configuration.zones.push_back({ Model::zoneId(name.str()), std::string { name.str() }, state });
+    PositionedTable merged;
+    for (auto const* file : files) {
+        if (file->content.size() > MaxFileSize) {
+            list.add({ file->name }, absl::StrCat("the file has ", file->content.size(), " bytes"),
+                absl::StrCat("divide it into files of at most ", MaxFileSize, " bytes"));
+            list.isIncomplete = true;
+            continue;
         }
+        auto table = PositionedTable::parse(*file, list.faults);
+        list.isIncomplete = list.isIncomplete || !table;
+        if (table)
+            merged.overrideWith(std::move(*table));
     }
-    std::ranges::sort(configuration.services, {}, &Model::Service::id);
-    std::ranges::sort(configuration.zones, {}, &Model::AvailabilityZone::id);
-    return configuration;
+    return merged;
 }
 
 std::optional<Model::Configuration> Parser::parse(std::vector<SourceFile> const& files, Core::Revision revision)
 {
-    m_faults.clear();
-    toml::table merged;
-    for (auto const& file : files) {
-        try {
-            mergeTable(merged, toml::parse(file.content));
-        } catch (toml::parse_error const& error) {
-            auto position = error.source().begin;
-            m_faults.push_back({ file.name, position.line, position.column, std::string { error.description() }, "" });
-        }
-    }
+    FaultList list;
+    auto sorted = sortedByName(files);
+    checkFiles(sorted, list);
+    auto declaration = readDeclaration(mergeFiles(sorted, list), list);
+    Validator { list }.check(declaration);
+    m_declaredRevision = declaration.revision;
+    m_faults = std::move(list.faults);
+    std::ranges::sort(m_faults);
     if (!m_faults.empty())
         return std::nullopt;
-    auto configuration = build(merged);
-    configuration.revision = revision;
+    auto configuration = toConfiguration(declaration);
+    if (revision.isValid())
+        configuration.revision = revision;
     return configuration;
 }
 
