--- a/Libraries/LibDataPath/Filters.cpp
+++ b/Libraries/LibDataPath/Filters.cpp
@@ -115,7 +115,7 @@
             return stop(context, DropReason::UnknownPeer);
         context.destination = *address;
         auto hopCount = static_cast<std::uint8_t>(context.info.hopCount + 1);
-        return setHeader(context, Packet::gueHopHeader(inner, self, hopCount, key));
+        return setHeader(context, Packet::gueHopHeader(inner, { self, hopCount }, key));
     };
 }
 
--- a/Libraries/LibPacket/Gue.cpp
+++ b/Libraries/LibPacket/Gue.cpp
@@ -12,8 +12,10 @@
 static constexpr std::uint8_t VariantAndControlMask = 0xe0;
 static constexpr std::uint8_t HeaderLengthMask = 0x1f;
 static constexpr std::size_t WordSize = 4;
+static constexpr std::uint8_t KnownFlowFlag = 0x01;
 
-// The tag covers the sender, the hop count and as much of the inner packet as holds its IP and transport headers.
+// The tag covers the sender, the hop count, the flag and as much of the inner packet as holds its IP and transport
+// headers.
 static constexpr std::size_t AuthenticatedInnerBytes = 60;
 
 static_assert(std::tuple_size_v<HopKey> == crypto_shorthash_KEYBYTES);
@@ -32,12 +34,13 @@
     }
 }
 
-static std::uint64_t computeHopTag(Bytes inner, Core::VmId sender, std::uint8_t hopCount, HopKey const& key)
+static std::uint64_t computeHopTag(Bytes inner, PeerHop const& hop, HopKey const& key)
 {
     std::array<std::uint8_t, 12 + AuthenticatedInnerBytes> message {};
-    writeU32(message, 0, static_cast<std::uint32_t>(sender.value() >> 32));
-    writeU32(message, 4, static_cast<std::uint32_t>(sender.value()));
-    message[8] = hopCount;
+    writeU32(message, 0, static_cast<std::uint32_t>(hop.sender.value() >> 32));
+    writeU32(message, 4, static_cast<std::uint32_t>(hop.sender.value()));
+    message[8] = hop.hopCount;
+    message[9] = hop.isKnownFlow ? KnownFlowFlag : 0;
     auto covered = std::min(inner.size(), AuthenticatedInnerBytes);
     std::copy_n(inner.begin(), covered, message.begin() + 12);
     std::array<std::uint8_t, crypto_shorthash_BYTES> tag;
@@ -54,7 +57,7 @@
 }
 
 std::optional<std::array<std::uint8_t, GueHopHeaderSize>> gueHopHeader(
-    Bytes inner, Core::VmId sender, std::uint8_t hopCount, HopKey const& key)
+    Bytes inner, PeerHop const& hop, HopKey const& key)
 {
     auto protocol = innerProtocol(inner);
     if (!protocol)
@@ -62,10 +65,11 @@
     std::array<std::uint8_t, GueHopHeaderSize> header {};
     header[0] = (GueHopHeaderSize - GueHeaderSize) / WordSize;
     header[1] = protocol;
-    auto tag = computeHopTag(inner, sender, hopCount, key);
-    writeU32(header, 4, static_cast<std::uint32_t>(sender.value() >> 32));
-    writeU32(header, 8, static_cast<std::uint32_t>(sender.value()));
-    header[12] = hopCount;
+    auto tag = computeHopTag(inner, hop, key);
+    writeU32(header, 4, static_cast<std::uint32_t>(hop.sender.value() >> 32));
+    writeU32(header, 8, static_cast<std::uint32_t>(hop.sender.value()));
+    header[12] = hop.hopCount;
+    header[13] = hop.isKnownFlow ? KnownFlowFlag : 0;
     writeU32(header, 16, static_cast<std::uint32_t>(tag >> 32));
     writeU32(header, 20, static_cast<std::uint32_t>(tag));
     return header;
@@ -86,6 +90,7 @@
         PeerHop hop;
         hop.sender = Core::VmId { static_cast<std::uint64_t>(readU32(datagram, 4)) << 32 | readU32(datagram, 8) };
         hop.hopCount = datagram[12];
+        hop.isKnownFlow = (datagram[13] & KnownFlowFlag) != 0;
         hop.tag = static_cast<std::uint64_t>(readU32(datagram, 16)) << 32 | readU32(datagram, 20);
         packet.hop = hop;
     }
@@ -96,7 +101,7 @@
 {
     if (!packet.hop)
         return false;
-    return packet.hop->tag == computeHopTag(packet.inner, packet.hop->sender, packet.hop->hopCount, key);
+    return packet.hop->tag == computeHopTag(packet.inner, *packet.hop, key);
 }
 
 }
--- a/Libraries/LibPacket/Gue.h
+++ b/Libraries/LibPacket/Gue.h
@@ -21,6 +21,8 @@
 struct PeerHop {
     Core::VmId sender;
     std::uint8_t hopCount { 0 };
+    /// The sender has seen earlier packets of the flow.
+    bool isKnownFlow { false };
     /// SipHash-2-4 over the other fields and the inner headers, under the key of the fleet.
     std::uint64_t tag { 0 };
 };
@@ -36,9 +38,8 @@
 /// Header of GUE variant 0 (draft-ietf-intarea-gue) for an inner IP packet; nothing when its version is unknown.
 std::optional<std::array<std::uint8_t, GueHeaderSize>> gueHeader(Bytes inner);
 
-/// The same with the private data of a peer hop, authenticated with the key.
-std::optional<std::array<std::uint8_t, GueHopHeaderSize>> gueHopHeader(
-    Bytes inner, Core::VmId sender, std::uint8_t hopCount, HopKey const&);
+/// The same with the private data of a peer hop, whose tag is computed with the key.
+std::optional<std::array<std::uint8_t, GueHopHeaderSize>> gueHopHeader(Bytes inner, PeerHop const&, HopKey const&);
 
 /// Parses the payload of a UDP datagram. Nothing for control messages, unknown variants and truncated headers.
 std::optional<GuePacket> parseGue(Bytes datagram);
--- a/Libraries/LibPacket/PacketBuilder.h
+++ b/Libraries/LibPacket/PacketBuilder.h
@@ -15,6 +15,13 @@
     Bytes payload;
 };
 
+/// Size of the IP packet that the fields make.
+std::size_t packetSize(PacketFields const&);
+
+/// Writes an IP packet with valid checksums and gives its size; 0 when the buffer is too small. Allocates nothing.
+/// Source and destination must be of one address family.
+std::size_t writePacket(PacketFields const&, std::span<std::uint8_t> buffer);
+
 /// Builds an IP packet with valid checksums. Source and destination must be of one address family.
 std::vector<std::uint8_t> buildPacket(PacketFields const&);
 
--- /dev/null
+++ b/Libraries/LibPacket/Refusal.cpp
@@ -0,0 +1,89 @@
+#include <LibPacket/Refusal.h>
+
+#include <LibPacket/ByteOrder.h>
+#include <LibPacket/Checksum.h>
+#include <LibPacket/IpHeader.h>
+#include <LibPacket/PacketBuilder.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Packet {
+
+// RFC 1812, section 4.3.2.3: an ICMP error is at most 576 bytes long.
+static constexpr std::size_t MaxIcmpv4Size = 576;
+static constexpr std::size_t MaxIcmpv6Size = 1280;
+
+static constexpr std::uint8_t Icmpv4Unreachable = 3;
+static constexpr std::uint8_t Icmpv4Prohibited = 13;
+static constexpr std::uint8_t Icmpv6Unreachable = 1;
+static constexpr std::uint8_t Icmpv6Prohibited = 1;
+
+static bool mayBeAnswered(ParsedPacket const& packet)
+{
+    if (packet.isIcmpError || (packet.tcpFlags & Rst))
+        return false;
+    return isUnicast(packet.flow.source.address) && isUnicast(packet.flow.destination.address);
+}
+
+static std::uint32_t segmentLength(ParsedPacket const& packet)
+{
+    auto length = static_cast<std::uint32_t>(packet.payload.size());
+    length += packet.tcpFlags & Syn ? 1 : 0;
+    length += packet.tcpFlags & Fin ? 1 : 0;
+    return length;
+}
+
+std::size_t writeReset(ParsedPacket const& packet, std::span<std::uint8_t> buffer)
+{
+    if (packet.flow.protocol != Core::Protocol::Tcp || !mayBeAnswered(packet))
+        return 0;
+    PacketFields fields { .flow = { packet.flow.destination, packet.flow.source, Core::Protocol::Tcp } };
+    fields.tcpFlags = Rst;
+    if (packet.tcpFlags & Acknowledgement) {
+        fields.tcpSequence = packet.tcpAcknowledgement;
+    } else {
+        fields.tcpFlags = Rst | Acknowledgement;
+        fields.tcpAcknowledgement = packet.tcpSequence + segmentLength(packet);
+    }
+    return writePacket(fields, buffer);
+}
+
+static std::uint16_t icmpChecksum(ParsedPacket const& packet, Bytes message, bool isV4)
+{
+    std::uint32_t sum = 0;
+    if (!isV4)
+        sum = sumPseudoHeader(
+            packet.flow.destination.address, packet.flow.source.address, Icmpv6Protocol, message.size());
+    return foldChecksum(sumWords(message, sum));
+}
+
+std::size_t writeUnreachable(ParsedPacket const& packet, std::span<std::uint8_t> buffer)
+{
+    if (!mayBeAnswered(packet))
+        return 0;
+    bool isV4 = packet.flow.source.address.isV4();
+    auto headerSize = ipHeaderSize(isV4) + IcmpHeaderSize;
+    auto maxSize = std::min(buffer.size(), isV4 ? MaxIcmpv4Size : MaxIcmpv6Size);
+    if (maxSize <= headerSize)
+        return 0;
+    auto quoted = packet.ip.first(std::min(packet.ip.size(), maxSize - headerSize));
+    auto answer = buffer.first(headerSize + quoted.size());
+    auto message = answer.subspan(ipHeaderSize(isV4));
+    std::ranges::fill(message.first(IcmpHeaderSize), 0);
+    message[0] = isV4 ? Icmpv4Unreachable : Icmpv6Unreachable;
+    message[1] = isV4 ? Icmpv4Prohibited : Icmpv6Prohibited;
+    std::ranges::copy(quoted, message.subspan(IcmpHeaderSize).begin());
+    writeU16(message, 2, icmpChecksum(packet, message, isV4));
+    writeIpHeader(
+        answer, packet.flow.destination.address, packet.flow.source.address, isV4 ? IcmpProtocol : Icmpv6Protocol);
+    return answer.size();
+}
+
+std::size_t writeRefusal(ParsedPacket const& packet, std::span<std::uint8_t> buffer)
+{
+    if (packet.flow.protocol == Core::Protocol::Tcp)
+        return writeReset(packet, buffer);
+    return writeUnreachable(packet, buffer);
+}
+
+}
--- a/Tests/LibPacket/TestGue.cpp
+++ b/Tests/LibPacket/TestGue.cpp
@@ -20,7 +20,7 @@
 
 static std::vector<std::uint8_t> withHop(std::vector<std::uint8_t> const& inner, Packet::HopKey const& key)
 {
-    auto header = Packet::gueHopHeader(inner, Core::VmId { 77 }, 1, key);
+    auto header = Packet::gueHopHeader(inner, { Core::VmId { 77 }, 1, true }, key);
     std::vector<std::uint8_t> datagram { header->begin(), header->end() };
     datagram.insert(datagram.end(), inner.begin(), inner.end());
     return datagram;
@@ -34,6 +34,7 @@
     BOOST_REQUIRE(parsed && parsed->hop);
     BOOST_TEST(parsed->hop->sender.value() == 77u);
     BOOST_TEST(parsed->hop->hopCount == 1);
+    BOOST_TEST(parsed->hop->isKnownFlow);
     BOOST_TEST(Packet::isAuthentic(*parsed, {}));
     auto error = Packet::ParseError::None;
     auto packet = Packet::parse(parsed->inner, error);
@@ -52,6 +53,19 @@
     BOOST_TEST(!Packet::isAuthentic(*parsed, { 2 }));
 }
 
+BOOST_AUTO_TEST_CASE(ChangedHopIsNotAuthentic)
+{
+    // Guards against an outsider that changes the sender, the hop count, the flag or the flow of a packet on its way.
+    auto inner = Packet::buildPacket({ .flow = Flows[0], .tcpFlags = Packet::Syn });
+    auto original = withHop(inner, { 1 });
+    for (std::size_t position : { 4, 11, 12, 13, 16, 23, 24 + 12, 24 + 16, 24 + 20, 24 + 33 }) {
+        auto datagram = original;
+        datagram[position] ^= 1;
+        auto parsed = Packet::parseGue(datagram);
+        BOOST_TEST((!parsed || !Packet::isAuthentic(*parsed, { 1 })), "position " << position);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(TruncatedPacketsAreRejected)
 {
     // Guards against reads past the end of a datagram that was cut at any byte.
