chicorytallyd: Start the placement engine when the members are known

Cause: an engine that gets its configuration before its members takes itself to be alone and would own all buckets for the first seconds.

Change: the control loop passes the configuration on once a member has confirmed the process or none can be reached; /status shows the state of the engine, /explain says why a flow goes where it goes.

In the first 10 s opens are refused, because shares of limits wait for the next full counts.

--- a/Services/chicorytallyd/AdminRoutes.cpp
+++ b/Services/chicorytallyd/AdminRoutes.cpp
@@ -10,6 +10,8 @@
 using Telemetry::AdminRequest;
 using Telemetry::AdminResponse;
 
+static constexpr int StatusBadRequest = 400;
+static constexpr int StatusNotFound = 404;
 static constexpr int StatusUnavailable = 503;
 
 static AdminResponse answer(json const& body, int status = 200)
@@ -43,11 +45,33 @@
     return list;
 }
 
+static json placementOf(Placement::Engine const& engine)
+{
+    auto counters = engine.counters();
+    json reasons = json::object();
+    for (std::size_t i = 0; i < Placement::ReasonCount; ++i)
+        reasons[std::string { Placement::toString(static_cast<Placement::Reason>(i)) }] = counters.reasons[i];
+    return {
+        { "synchronised", engine.synchronised() },
+        { "buckets", counters.buckets },
+        { "tracked_buckets", counters.trackedBuckets },
+        { "owned_buckets", counters.ownedBuckets },
+        { "records", counters.records },
+        { "copies", counters.copies },
+        { "differing_records", counters.differingRecords },
+        { "peer_hops", counters.peerHops },
+        { "reasons", reasons },
+    };
+}
+
 static json statusOf(AdminSources const& sources)
 {
     auto configuration = sources.configuration.configuration();
     auto loadStatus = sources.load.controllerStatus();
     auto counters = sources.distribution.counters();
+    auto unconfirmedBy = json::array();
+    for (auto vm : loadStatus.unconfirmedBy)
+        unconfirmedBy.push_back(idText(vm.value()));
     return {
         { "vm", sources.vmName },
         { "zone", sources.zoneName },
@@ -57,7 +81,8 @@
         { "services", configuration ? configuration->services.size() : 0 },
         { "members", sources.membership.members().size() },
         { "overloaded", loadStatus.isOverloaded },
-        { "unconfirmed_opens", loadStatus.unconfirmedOpens },
+        { "unconfirmed_by", unconfirmedBy },
+        { "placement", placementOf(sources.engine) },
         { "older_revisions_ignored", counters.ignoredOlder },
         { "configurations_refused", counters.refused },
         { "configuration_faults", faultsOf(sources.configuration) },
@@ -130,6 +155,57 @@
     return list;
 }
 
+// A flow is written as PROTOCOL,CALLER,SERVICE, for example tcp,10.0.0.1:4000,198.51.100.10:7000.
+static std::optional<Core::FlowKey> parseFlow(std::string const& text)
+{
+    std::vector<std::string> parts = absl::StrSplit(text, ',');
+    if (parts.size() != 3 || (parts[0] != "tcp" && parts[0] != "udp"))
+        return std::nullopt;
+    auto source = Core::Endpoint::parse(parts[1]);
+    auto destination = Core::Endpoint::parse(parts[2]);
+    if (!source || !destination)
+        return std::nullopt;
+    return Core::FlowKey { *source, *destination, parts[0] == "tcp" ? Core::Protocol::Tcp : Core::Protocol::Udp };
+}
+
+static json explanationOf(Names const& names, Core::ServiceId service, Placement::Explanation const& explanation)
+{
+    json body {
+        { "service", names.service(service) },
+        { "bucket", explanation.bucket },
+        { "state", explanation.isTracked ? "tracked" : "steady" },
+        { "baseline", names.upstream(service, explanation.baseline) },
+        { "target", names.upstream(service, explanation.target) },
+        { "owner", idText(explanation.owner.value()) },
+        { "backup", idText(explanation.backup.value()) },
+        { "is_owner", explanation.isOwner },
+        { "epoch", explanation.epoch },
+        { "verdict", Placement::toString(explanation.decision.verdict) },
+        { "reason", Placement::toString(explanation.decision.reason) },
+    };
+    if (explanation.decision.upstream.isValid())
+        body["upstream"] = names.upstream(service, explanation.decision.upstream);
+    if (explanation.decision.peer.isValid())
+        body["peer"] = idText(explanation.decision.peer.value());
+    if (explanation.record)
+        body["record"] = names.upstream(service, *explanation.record);
+    return body;
+}
+
+static AdminResponse explain(AdminSources const& sources, AdminRequest const& request)
+{
+    auto parameter = request.parameters.find("flow");
+    auto flow = parameter != request.parameters.end() ? parseFlow(parameter->second) : std::nullopt;
+    if (!flow)
+        return answer({ { "error", "write flow=PROTOCOL,CALLER_IP:PORT,SERVICE_IP:PORT with protocol tcp or udp" } }, StatusBadRequest);
+    auto configuration = sources.configuration.configuration();
+    auto const* service = configuration ? configuration->findService(flow->destination, flow->protocol) : nullptr;
+    auto explanation = service ? sources.engine.explain(service->id, *flow) : std::nullopt;
+    if (!explanation)
+        return answer({ { "error", "no service has the address " + flow->destination.toString() } }, StatusNotFound);
+    return answer(explanationOf(Names { configuration }, service->id, *explanation));
+}
+
 void addAdminRoutes(Telemetry::AdminServer& server, AdminSources sources)
 {
     server.addRoute("/metrics", [&metrics = sources.metrics](AdminRequest const&) {
@@ -144,6 +220,7 @@
     server.addRoute("/upstreams", [sources](AdminRequest const&) {
         return answer({ { "upstreams", upstreamsOf(sources) } });
     });
+    server.addRoute("/explain", [sources](AdminRequest const& request) { return explain(sources, request); });
     server.addRoute("/members", [sources](AdminRequest const&) {
         return answer({ { "members", membersOf(sources) } });
     });
--- a/Services/chicorytallyd/AdminRoutes.h
+++ b/Services/chicorytallyd/AdminRoutes.h
@@ -21,7 +21,7 @@
     ConfigurationController const& configuration;
     Membership::Controller const& membership;
     Distribution::Controller const& distribution;
-    Placement::Engine const& engine;
+    Placement::Engine& engine;
     Load::LoadController const& load;
     /// False while the process starts or stops: the fabric should send its packets elsewhere.
     std::function<bool()> isReady;
--- a/Services/chicorytallyd/ControlLoop.cpp
+++ b/Services/chicorytallyd/ControlLoop.cpp
@@ -5,6 +5,8 @@
 using Membership::MemberState;
 
 static constexpr std::chrono::milliseconds TickInterval { 100 };
+// Flows may wait for an urgent message of the placement engine; the loop looks for one this often.
+static constexpr std::chrono::milliseconds UrgentInterval { 10 };
 
 static Placement::MemberStatus toMemberStatus(MemberState state)
 {
@@ -69,10 +71,12 @@
     return peers;
 }
 
-ControlLoop::ControlLoop(Core::Clock const& clock, Controllers controllers, std::unique_ptr<PeerChannel> channel)
+ControlLoop::ControlLoop(Core::Clock const& clock, Controllers controllers, std::unique_ptr<PeerChannel> channel,
+    std::function<void()> membersKnown)
     : m_clock(clock)
     , m_controllers(controllers)
     , m_channel(std::move(channel))
+    , m_membersKnown(std::move(membersKnown))
 {
 }
 
@@ -95,11 +99,12 @@
     auto nextTick = m_clock.now();
     auto handler = [this](Messages::Envelope const& envelope, Core::Endpoint const& from) { dispatch(envelope, from); };
     while (!m_isStopping) {
-        auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(nextTick - m_clock.now());
-        m_channel->receive(std::max(remaining, std::chrono::milliseconds { 0 }), handler);
+        m_channel->receive(UrgentInterval, handler);
         if (m_clock.now() >= nextTick) {
             tick();
             nextTick = m_clock.now() + TickInterval;
+        } else if (m_controllers.engine.hasUrgentMessages()) {
+            queuePlacement();
         }
         // Answers to probes must not wait for the next tick, as the prober measures their delay.
         queueMembership();
@@ -123,17 +128,17 @@
     queueMembership();
     if (m_areMembersChanged.exchange(false))
         applyMembers();
+    if (!m_areMembersKnown && m_controllers.membership.isConfirmed()) {
+        m_areMembersKnown = true;
+        m_membersKnown();
+    }
 
     for (auto& outgoing : m_controllers.distribution.tick()) {
         Messages::PeerMessage message;
         message.__set_distribution(std::move(outgoing.message));
         queueTo(outgoing.receiver, std::move(message));
     }
-    for (auto& outgoing : m_controllers.engine.tick()) {
-        Messages::PeerMessage message;
-        message.__set_placement(std::move(outgoing.message));
-        queueTo(outgoing.receiver, std::move(message));
-    }
+    queuePlacement();
     for (auto& outgoing : m_controllers.load.tick()) {
         Messages::PeerMessage message;
         message.__set_load(std::move(outgoing.message));
@@ -151,6 +156,15 @@
     }
 }
 
+void ControlLoop::queuePlacement()
+{
+    for (auto& outgoing : m_controllers.engine.tick()) {
+        Messages::PeerMessage message;
+        message.__set_placement(std::move(outgoing.message));
+        queueTo(outgoing.receiver, std::move(message));
+    }
+}
+
 void ControlLoop::queueTo(Core::VmId receiver, Messages::PeerMessage message)
 {
     if (auto endpoint = m_controllers.membership.endpointOf(receiver))
--- a/Services/chicorytallyd/ControlLoop.h
+++ b/Services/chicorytallyd/ControlLoop.h
@@ -9,6 +9,7 @@
 #include <LibPlacement/Placement.h>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 namespace Chicorytally::Daemon {
@@ -25,7 +26,9 @@
 /// The control thread: carries messages between balancers and the controllers, and calls their ticks.
 class ControlLoop {
 public:
-    ControlLoop(Core::Clock const&, Controllers, std::unique_ptr<PeerChannel>);
+    /// The hook is called once, when the members are known: this process is confirmed by one of them, or none can be
+    /// reached. Before that, the placement engine must have no configuration, as it would take itself to be alone.
+    ControlLoop(Core::Clock const&, Controllers, std::unique_ptr<PeerChannel>, std::function<void()> membersKnown);
     ControlLoop(ControlLoop const&) = delete;
     ControlLoop& operator=(ControlLoop const&) = delete;
     ~ControlLoop();
@@ -44,11 +47,14 @@
     void applyMembers();
     void dispatch(Messages::Envelope const&, Core::Endpoint const& from);
     void queueMembership();
+    void queuePlacement();
     void queueTo(Core::VmId receiver, Messages::PeerMessage);
 
     Core::Clock const& m_clock;
     Controllers m_controllers;
     std::unique_ptr<PeerChannel> m_channel;
+    std::function<void()> m_membersKnown;
+    bool m_areMembersKnown { false };
     std::atomic<bool> m_areMembersChanged { true };
     std::atomic<std::uint64_t> m_incarnation { 0 };
     std::atomic<bool> m_isStopping { false };
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -70,7 +70,8 @@
     , m_engine(m_clock, engineOptions(m_settings), engineHooks(m_load))
     , m_configuration([this](auto const& configuration) {
         m_load.applyConfiguration(configuration);
-        m_engine.applyConfiguration(configuration);
+        if (m_areMembersKnown)
+            m_engine.applyConfiguration(configuration);
     })
     , m_membership(m_clock, membershipOptions(m_settings, m_incarnation),
           { .membersChanged =
@@ -106,7 +107,13 @@
     if (!channel)
         return false;
     Controllers controllers { m_membership, m_distribution, m_engine, m_load, m_probes };
-    m_control = std::make_unique<ControlLoop>(m_clock, controllers, std::move(channel));
+    auto membersKnown = [this] {
+        m_areMembersKnown = true;
+        // An older revision than one that was applied in between is ignored by the engine.
+        if (auto configuration = m_configuration.configuration())
+            m_engine.applyConfiguration(configuration);
+    };
+    m_control = std::make_unique<ControlLoop>(m_clock, controllers, std::move(channel), membersKnown);
     return true;
 }
 
@@ -165,7 +172,7 @@
         "chicorytally_ready", "1 when packets may be sent to this balancer", [this] { return isReady() ? 1 : 0; });
 }
 
-bool Daemon::isReady() const { return !m_isStopping && m_configuration.version() > 0 && m_membership.isConfirmed(); }
+bool Daemon::isReady() const { return !m_isStopping && m_engine.synchronised() && m_membership.isConfirmed() && m_load.isReady(); }
 
 void Daemon::reload()
 {
--- a/Services/chicorytallyd/Daemon.h
+++ b/Services/chicorytallyd/Daemon.h
@@ -49,6 +49,7 @@
     Core::VmId m_self;
     Core::Incarnation m_incarnation;
     std::atomic<bool> m_isStopping { false };
+    std::atomic<bool> m_areMembersKnown { false };
 
     Load::LoadController m_load;
     Placement::Engine m_engine;
