LibDataPath: Add the pipeline, refusals, admission and spans

Refuse and Reset verdicts were dropped silently, services were found by a linear search under a lock per packet, and only four numbers were counted. Services and peer endpoints are published as immutable tables that a worker takes over once per batch. Refusals go to the fabric, limited per second.

--- a/Libraries/LibDataPath/FilterChain.h
+++ b/Libraries/LibDataPath/FilterChain.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -15,34 +16,58 @@
 /// Why the data path dropped a packet, beside the reasons of the placement engine.
 enum class DropReason : std::uint8_t {
     None,
-    Truncated,
+    /// Longer than the receive buffer.
+    Oversized,
     BadEncapsulation,
+    /// The tag of a peer hop was made with another key.
     UnauthenticHop,
+    /// The hop count is impossible, or the packet came back to its sender.
+    BadHop,
+    /// The parse error says more.
     BadPacket,
     UnknownService,
+    /// The source address belongs to a service.
+    SpoofedSource,
+    /// A new flow while this balancer is behind with its work.
+    Overloaded,
+    /// The engine decided to drop; its reason says more.
     Placement,
     UnknownPeer,
+    /// A refusal is due, but the packet must not be answered (RFC 9293, section 3.10.7; RFC 1122, section 3.2.2).
+    Unanswerable,
+    /// More refusals are due than may be sent.
+    RefusalLimit,
+    /// A refusal is due, but the fabric's endpoint is not known.
+    NoFabric,
 };
 
+constexpr std::size_t DropReasonCount = static_cast<std::size_t>(DropReason::NoFabric) + 1;
+
 std::string_view toString(DropReason);
 
 /// One packet on its way through the filters. Points into the receive buffer.
 struct PacketContext {
-    Packet::Bytes datagram;
+    std::span<std::uint8_t> datagram;
     Core::Endpoint from;
+    /// The datagram was longer than the receive buffer.
     bool isTruncated { false };
 
     Packet::GuePacket encapsulated;
     Packet::ParsedPacket packet;
     Packet::ParseError parseError { Packet::ParseError::None };
     Placement::PacketInfo info;
+    /// Valid when isDecided.
     Placement::Decision decision;
+    bool isDecided { false };
     DropReason dropReason { DropReason::None };
 
     /// What to send; filled in by the last filter.
     std::array<std::uint8_t, Packet::GueHopHeaderSize> header;
     std::size_t headerSize { 0 };
+    Packet::Bytes body;
     Core::Endpoint destination;
+    /// Room for a refusal, owned by the worker.
+    std::span<std::uint8_t> refusalBuffer;
 };
 
 enum class FilterResult : std::uint8_t {
--- a/Libraries/LibDataPath/Filters.h
+++ b/Libraries/LibDataPath/Filters.h
@@ -1,27 +1,58 @@
 #pragma once
 
+#include <LibDataPath/Admission.h>
 #include <LibDataPath/FilterChain.h>
+#include <LibDataPath/PeerTable.h>
+#include <LibDataPath/Published.h>
+#include <LibDataPath/ServiceTable.h>
 
 #include <memory>
 
 namespace Chicorytally::DataPath {
 
+/// Greatest number of peer hops of a packet.
+constexpr std::uint8_t MaxHopCount = 2;
+
 /// Gives the configuration in force; nothing before the first one.
 using ConfigurationSource = std::function<std::shared_ptr<Model::Configuration const>()>;
 
 /// Gives the data endpoint of a member.
 using PeerAddressSource = std::function<std::optional<Core::Endpoint>(Core::VmId)>;
 
-/// Unwraps GUE, checks the tag of a peer hop and parses the inner packet.
-Filter makeParseFilter(Packet::HopKey const&);
+/// Decides a packet; Placement::Engine::decide() or a fake of it.
+using DecideHook = std::function<Placement::Decision(Placement::PacketInfo const&)>;
+
+/// Gives the endpoint that a refusal of this packet goes to; nothing when it can't be sent now.
+using RefusalRoute = std::function<std::optional<Core::Endpoint>(PacketContext&)>;
+
+/// Unwraps GUE, checks a peer hop and parses the inner packet.
+Filter makeParseFilter(Packet::HopKey const&, Core::VmId self = {});
+
+/// Finds the service that the packet is for, in the table of the reader's last refresh.
+Filter makeServiceFilter(Published<ServiceTable>::Reader const&);
 
-/// Finds the service that the packet is for.
+/// The same for a small program: reads the source and searches all services for each packet.
 Filter makeServiceFilter(ConfigurationSource);
 
-/// Asks the placement engine; refusals and drops stop here.
+/// Drops new flows while this balancer is overloaded.
+Filter makeAdmissionFilter(Admission&);
+
+/// Asks for a decision; a drop stops here.
+Filter makePlacementFilter(DecideHook);
 Filter makePlacementFilter(Placement::Engine&);
 
-/// Writes the outer header and sets the destination.
+/// For a packet that is refused or reset, builds the answer to the caller and sends it by the route. Other packets
+/// pass.
+Filter makeRefusalFilter(RefusalRoute);
+
+/// Writes the outer header and sets the destination of a packet that is forwarded.
 Filter makeEncapsulationFilter(Packet::HopKey const&, Core::VmId self, PeerAddressSource);
 
+/// Marks the packet as dropped.
+inline FilterResult stop(PacketContext& context, DropReason reason)
+{
+    context.dropReason = reason;
+    return FilterResult::Stop;
+}
+
 }
--- /dev/null
+++ b/Libraries/LibDataPath/ParseFilter.cpp
@@ -0,0 +1,53 @@
+#include <LibDataPath/Filters.h>
+
+namespace Chicorytally::DataPath {
+
+static Placement::PacketKind kindOf(Packet::ParsedPacket const& packet)
+{
+    if (packet.isOpening())
+        return Placement::PacketKind::Open;
+    if (packet.isClosing())
+        return Placement::PacketKind::Close;
+    return Placement::PacketKind::Data;
+}
+
+static DropReason checkHop(Packet::GuePacket const& packet, Packet::HopKey const& key, Core::VmId self)
+{
+    if (!packet.hop)
+        return DropReason::None;
+    if (!Packet::isAuthentic(packet, key))
+        return DropReason::UnauthenticHop;
+    auto isPossible = packet.hop->hopCount >= 1 && packet.hop->hopCount <= MaxHopCount;
+    if (!isPossible || packet.hop->sender == self)
+        return DropReason::BadHop;
+    return DropReason::None;
+}
+
+Filter makeParseFilter(Packet::HopKey const& key, Core::VmId self)
+{
+    return [key, self](PacketContext& context) {
+        if (context.isTruncated)
+            return stop(context, DropReason::Oversized);
+        auto encapsulated = Packet::parseGue(context.datagram);
+        if (!encapsulated)
+            return stop(context, DropReason::BadEncapsulation);
+        auto hopFault = checkHop(*encapsulated, key, self);
+        if (hopFault != DropReason::None)
+            return stop(context, hopFault);
+        auto packet = Packet::parse(encapsulated->inner, context.parseError);
+        if (!packet)
+            return stop(context, DropReason::BadPacket);
+        context.encapsulated = *encapsulated;
+        context.packet = *packet;
+        context.info.flow = packet->flow;
+        context.info.kind = kindOf(*packet);
+        if (encapsulated->hop) {
+            context.info.hopCount = encapsulated->hop->hopCount;
+            context.info.sender = encapsulated->hop->sender;
+            context.info.isKnownToSender = encapsulated->hop->isKnownFlow;
+        }
+        return FilterResult::Continue;
+    };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDataPath/PlacementFilter.cpp
@@ -0,0 +1,21 @@
+#include <LibDataPath/Filters.h>
+
+namespace Chicorytally::DataPath {
+
+Filter makePlacementFilter(DecideHook decide)
+{
+    return [decide = std::move(decide)](PacketContext& context) {
+        context.decision = decide(context.info);
+        context.isDecided = true;
+        if (context.decision.verdict == Placement::Verdict::Drop)
+            return stop(context, DropReason::Placement);
+        return FilterResult::Continue;
+    };
+}
+
+Filter makePlacementFilter(Placement::Engine& engine)
+{
+    return makePlacementFilter([&engine](Placement::PacketInfo const& info) { return engine.decide(info); });
+}
+
+}
--- a/Libraries/LibDataPath/UdpSocket.cpp
+++ b/Libraries/LibDataPath/UdpSocket.cpp
@@ -105,6 +105,14 @@
     return sender.flush(*this) == 0;
 }
 
+Core::Endpoint UdpSocket::localEndpoint() const
+{
+    sockaddr_storage address {};
+    socklen_t size = sizeof(address);
+    getsockname(m_fileDescriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return fromSocketAddress(address);
+}
+
 BatchReceiver::BatchReceiver()
 {
     for (std::size_t i = 0; i < BatchSize; ++i) {
--- a/Libraries/LibDataPath/UdpSocket.h
+++ b/Libraries/LibDataPath/UdpSocket.h
@@ -26,7 +26,8 @@
 };
 
 struct ReceivedDatagram {
-    std::span<std::uint8_t const> bytes;
+    /// Inside a buffer that the next receive() uses again; may be changed until then.
+    std::span<std::uint8_t> bytes;
     Core::Endpoint from;
     bool isTruncated { false };
 };
@@ -56,6 +57,8 @@
     /// Waits for a datagram, at most for the time given.
     bool waitReadable(std::chrono::milliseconds timeout) const;
     bool send(OutgoingDatagram const&);
+    /// The endpoint that the socket is bound to, with the port that the kernel chose for port 0.
+    Core::Endpoint localEndpoint() const;
     int fileDescriptor() const { return m_fileDescriptor; }
 
 private:
--- a/Libraries/LibDataPath/Worker.cpp
+++ b/Libraries/LibDataPath/Worker.cpp
@@ -5,10 +5,20 @@
 // Bounds how long stop() waits for an idle worker.
 static constexpr std::chrono::milliseconds PollTimeout { 50 };
 
-Worker::Worker(UdpSocket udpSocket, std::shared_ptr<FilterChain const> chain)
+// Empties a full receive buffer on stop, and ends also while packets keep arriving.
+static constexpr int MaxBatchesOnStop = 128;
+
+Worker::Worker(UdpSocket udpSocket, WorkerChains chains, WorkerHooks hooks)
     : m_socket(std::move(udpSocket))
-    , m_chain(std::move(chain))
+    , m_chains(std::move(chains))
+    , m_hooks(std::move(hooks))
     , m_receiver(std::make_unique<BatchReceiver>())
+    , m_refusals(std::make_unique<std::array<Packet::RefusalBuffer, BatchSize>>())
+{
+}
+
+Worker::Worker(UdpSocket udpSocket, std::shared_ptr<FilterChain const> chain)
+    : Worker(std::move(udpSocket), WorkerChains { nullptr, std::move(chain) })
 {
 }
 
@@ -29,33 +39,76 @@
 void Worker::run()
 {
     while (!m_isStopping) {
-        if (m_socket.waitReadable(PollTimeout))
-            runOnce();
+        if (runOnce() == 0)
+            m_socket.waitReadable(PollTimeout);
     }
-    while (runOnce() > 0) { }
+    for (int i = 0; i < MaxBatchesOnStop && runOnce() > 0; ++i) { }
 }
 
-std::size_t Worker::runOnce()
+void Worker::load(std::span<ReceivedDatagram const> datagrams)
 {
-    auto datagrams = m_receiver->receive(m_socket);
-    std::uint64_t forwarded = 0;
     for (std::size_t i = 0; i < datagrams.size(); ++i) {
         auto& context = m_contexts[i];
         context = {};
         context.datagram = datagrams[i].bytes;
         context.from = datagrams[i].from;
         context.isTruncated = datagrams[i].isTruncated;
-        if (m_chain->run(context) == FilterResult::Stop)
-            continue;
-        m_sender.add(
-            { { context.header.data(), context.headerSize }, context.encapsulated.inner, context.destination });
-        ++forwarded;
+        context.refusalBuffer = (*m_refusals)[i];
     }
-    auto refused = m_sender.flush(m_socket);
+}
+
+void Worker::classify(std::size_t count)
+{
+    if (!m_chains.classify)
+        return;
+    for (std::size_t i = 0; i < count; ++i)
+        m_chains.classify->run(m_contexts[i]);
+}
+
+void Worker::handle(PacketContext& context)
+{
+    bool isSent = context.dropReason == DropReason::None && m_chains.handle->run(context) == FilterResult::Continue;
+    if (isSent) {
+        m_sender.add({ { context.header.data(), context.headerSize }, context.body, context.destination });
+        ++m_sentInBatch;
+    }
+    if (m_hooks.packetHandled)
+        m_hooks.packetHandled(context);
+}
+
+void Worker::handleAll(std::size_t count)
+{
+    if (count < BatchSize) {
+        for (std::size_t i = 0; i < count; ++i)
+            handle(m_contexts[i]);
+        return;
+    }
+    for (auto isOpening : { false, true }) {
+        for (auto& context : m_contexts) {
+            if (context.packet.isOpening() == isOpening)
+                handle(context);
+        }
+    }
+}
+
+std::size_t Worker::runOnce()
+{
+    auto datagrams = m_receiver->receive(m_socket);
+    if (datagrams.empty())
+        return 0;
+    if (m_hooks.batchStarted)
+        m_hooks.batchStarted(datagrams.size());
+    m_sentInBatch = 0;
+    load(datagrams);
+    classify(datagrams.size());
+    handleAll(datagrams.size());
+    auto failures = m_sender.flush(m_socket);
+    if (m_hooks.batchSent)
+        m_hooks.batchSent(failures);
     m_counters.received += datagrams.size();
-    m_counters.forwarded += forwarded - refused;
-    m_counters.dropped += datagrams.size() - forwarded;
-    m_counters.sendFailures += refused;
+    m_counters.forwarded += m_sentInBatch - failures;
+    m_counters.dropped += datagrams.size() - m_sentInBatch;
+    m_counters.sendFailures += failures;
     return datagrams.size();
 }
 
--- a/Libraries/LibDataPath/Worker.h
+++ b/Libraries/LibDataPath/Worker.h
@@ -13,14 +13,35 @@
 /// Packets that a worker has handled since its start.
 struct WorkerCounters {
     std::atomic<std::uint64_t> received { 0 };
+    /// Packets and refusals sent.
     std::atomic<std::uint64_t> forwarded { 0 };
     std::atomic<std::uint64_t> dropped { 0 };
     std::atomic<std::uint64_t> sendFailures { 0 };
 };
 
-/// One thread that receives a batch, runs the filter chain on each packet and sends a batch.
+/// Called on the thread of the worker.
+struct WorkerHooks {
+    /// Before the packets of a batch are handled.
+    std::function<void(std::size_t received)> batchStarted;
+    /// After the last filter of a packet, also when it was dropped.
+    std::function<void(PacketContext const&)> packetHandled;
+    /// After a batch was sent.
+    std::function<void(std::size_t sendFailures)> batchSent;
+};
+
+/// The filters of a worker, in two parts.
+struct WorkerChains {
+    /// Says what kind of packet it is.
+    std::shared_ptr<FilterChain const> classify;
+    /// Decides and builds what is sent. In a full batch, it handles packets of established flows before new flows.
+    std::shared_ptr<FilterChain const> handle;
+};
+
+/// One thread that receives a batch, runs the filters on each packet and sends a batch.
 class Worker {
 public:
+    Worker(UdpSocket, WorkerChains, WorkerHooks = {});
+    /// With one chain, packets are handled in the order of their arrival.
     Worker(UdpSocket, std::shared_ptr<FilterChain const>);
     Worker(Worker const&) = delete;
     Worker& operator=(Worker const&) = delete;
@@ -30,18 +51,26 @@
     /// Handles what was already received, then ends the thread.
     void stop();
     WorkerCounters const& counters() const { return m_counters; }
+    UdpSocket const& socket() const { return m_socket; }
 
     /// Receives and forwards one batch; the number of packets received.
     std::size_t runOnce();
 
 private:
     void run();
+    void load(std::span<ReceivedDatagram const>);
+    void classify(std::size_t count);
+    void handle(PacketContext&);
+    void handleAll(std::size_t count);
 
     UdpSocket m_socket;
-    std::shared_ptr<FilterChain const> m_chain;
+    WorkerChains m_chains;
+    WorkerHooks m_hooks;
     std::unique_ptr<BatchReceiver> m_receiver;
     BatchSender m_sender;
     std::array<PacketContext, BatchSize> m_contexts;
+    std::unique_ptr<std::array<Packet::RefusalBuffer, BatchSize>> m_refusals;
+    std::size_t m_sentInBatch { 0 };
     WorkerCounters m_counters;
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
--- a/Libraries/LibTelemetry/Tracer.cpp
+++ b/Libraries/LibTelemetry/Tracer.cpp
@@ -64,7 +64,7 @@
 
 bool Tracer::isSampled(Core::Hash128 const& flowHash) const
 {
-    return m_threshold && mix(flowHash, m_options.key, SamplingPurpose) <= m_threshold;
+    return isEnabled() && mix(flowHash, m_options.key, SamplingPurpose) <= m_threshold;
 }
 
 void Tracer::record(Span const& span)
@@ -86,17 +86,36 @@
     return toHex(high) + toHex(Core::hashPair(high, flowHash.low));
 }
 
-static nlohmann::json attribute(std::string_view key, std::variant<std::uint64_t, std::string_view> const& value)
+static nlohmann::json attribute(std::string_view key, SpanValue const& value)
 {
     nlohmann::json rendered;
     // OTLP/JSON writes 64-bit integers as text.
     if (auto const* number = std::get_if<std::uint64_t>(&value))
         rendered["intValue"] = std::to_string(*number);
+    else if (auto const* hexNumber = std::get_if<HexNumber>(&value))
+        rendered["stringValue"] = toHex(hexNumber->value);
     else
         rendered["stringValue"] = std::get<std::string_view>(value);
     return { { "key", key }, { "value", rendered } };
 }
 
+static nlohmann::json attributesOf(Span const& span)
+{
+    auto attributes = nlohmann::json::array();
+    for (std::size_t i = 0; i < span.attributeCount; ++i)
+        attributes.push_back(attribute(span.attributes[i].key, span.attributes[i].value));
+    if (!span.flow)
+        return attributes;
+    auto source = span.flow->source.address.toString();
+    auto destination = span.flow->destination.address.toString();
+    attributes.push_back(attribute("network.transport", span.flow->protocol == Core::Protocol::Tcp ? "tcp" : "udp"));
+    attributes.push_back(attribute("client.address", source));
+    attributes.push_back(attribute("client.port", std::uint64_t { span.flow->source.port }));
+    attributes.push_back(attribute("server.address", destination));
+    attributes.push_back(attribute("server.port", std::uint64_t { span.flow->destination.port }));
+    return attributes;
+}
+
 static std::string unixNanoseconds(std::chrono::system_clock::time_point time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count());
@@ -107,14 +126,11 @@
     auto spans = nlohmann::json::array();
     auto instance = Core::hash64(m_options.vmName);
     for (auto const& [span, end, number] : waiting) {
-        auto attributes = nlohmann::json::array();
-        for (std::size_t i = 0; i < span.attributeCount; ++i)
-            attributes.push_back(attribute(span.attributes[i].key, span.attributes[i].value));
         auto spanId
             = mix({ number, static_cast<std::uint64_t>(end.time_since_epoch().count()) }, instance, SpanIdPurpose);
         spans.push_back({ { "traceId", traceId(span.flowHash) }, { "spanId", toHex(spanId) }, { "name", span.name },
             { "kind", 1 }, { "startTimeUnixNano", unixNanoseconds(end - span.duration) },
-            { "endTimeUnixNano", unixNanoseconds(end) }, { "attributes", attributes } });
+            { "endTimeUnixNano", unixNanoseconds(end) }, { "attributes", attributesOf(span) } });
     }
     nlohmann::json resource = { { "attributes",
         { attribute("service.name", "chicorytally"), attribute("service.instance.id", m_options.vmName) } } };
--- a/Libraries/LibTelemetry/Tracer.h
+++ b/Libraries/LibTelemetry/Tracer.h
@@ -19,10 +19,17 @@
 
 namespace Chicorytally::Telemetry {
 
+/// A number that is written as 16 hexadecimal digits, as identifiers are.
+struct HexNumber {
+    std::uint64_t value { 0 };
+};
+
+using SpanValue = std::variant<std::uint64_t, std::string_view, HexNumber>;
+
 /// An attribute of a span. Texts must outlive the tracer, so that recording copies nothing.
 struct SpanAttribute {
     std::string_view key;
-    std::variant<std::uint64_t, std::string_view> value;
+    SpanValue value;
 };
 
 /// What one balancer did with one packet of a flow.
@@ -34,9 +41,12 @@
     Core::Hash128 flowHash;
     std::string_view name;
     std::chrono::nanoseconds duration { 0 };
+    /// Written as the attributes of OpenTelemetry's network conventions.
+    std::optional<Core::FlowKey> flow;
 
     void add(std::string_view key, std::uint64_t value) { append({ key, value }); }
     void add(std::string_view key, std::string_view value) { append({ key, value }); }
+    void add(std::string_view key, HexNumber value) { append({ key, value }); }
 
     std::array<SpanAttribute, MaxAttributes> attributes {};
     std::size_t attributeCount { 0 };
@@ -79,6 +89,8 @@
     Tracer& operator=(Tracer const&) = delete;
     ~Tracer();
 
+    /// False when no flow is sampled.
+    bool isEnabled() const { return m_threshold != 0; }
     bool isSampled(Core::Hash128 const& flowHash) const;
     /// Takes a span that ends now. It is dropped and counted when the queue is full or in use by another thread.
     void record(Span const&);
