--- a/Libraries/LibDataPath/Pipeline.cpp
+++ b/Libraries/LibDataPath/Pipeline.cpp
@@ -146,10 +146,10 @@
     return position != m_peers.get()->end() ? std::optional { position->second } : std::nullopt;
 }
 
-Pipeline::Pipeline(Core::Clock const& clock, PipelineOptions options, PipelineHooks hooks, Telemetry::Metrics& metrics,
-    Telemetry::Tracer* tracer)
+Pipeline::Pipeline(Core::Clock const& clock, PipelineOptions const& options, PipelineHooks hooks,
+    Telemetry::Metrics& metrics, Telemetry::Tracer* tracer)
     : m_clock(clock)
-    , m_options(std::move(options))
+    , m_options(options)
     , m_hooks(std::move(hooks))
     , m_metrics(metrics)
     , m_tracer(tracer)
@@ -158,11 +158,10 @@
 
 Pipeline::~Pipeline() = default;
 
-std::unique_ptr<Pipeline> Pipeline::create(Core::Clock const& clock, PipelineOptions options, PipelineHooks hooks,
-    Telemetry::Metrics& metrics, Telemetry::Tracer* tracer, std::string& error)
+std::unique_ptr<Pipeline> Pipeline::create(Core::Clock const& clock, PipelineOptions const& options,
+    PipelineHooks hooks, Telemetry::Metrics& metrics, Telemetry::Tracer* tracer, std::string& error)
 {
-    std::unique_ptr<Pipeline> pipeline { new Pipeline {
-        clock, std::move(options), std::move(hooks), metrics, tracer } };
+    std::unique_ptr<Pipeline> pipeline { new Pipeline { clock, options, std::move(hooks), metrics, tracer } };
     auto workers = pipeline->m_options.workers;
     for (std::size_t i = 0; i < workers; ++i) {
         SocketError socketError;
--- a/Libraries/LibDataPath/Pipeline.h
+++ b/Libraries/LibDataPath/Pipeline.h
@@ -40,8 +40,8 @@
 public:
     /// Binds the sockets; nothing and the error when that fails. The clock, the metrics and the tracer, which may be
     /// null, must outlive the pipeline.
-    static std::unique_ptr<Pipeline> create(Core::Clock const&, PipelineOptions, PipelineHooks, Telemetry::Metrics&,
-        Telemetry::Tracer*, std::string& error);
+    static std::unique_ptr<Pipeline> create(Core::Clock const&, PipelineOptions const&, PipelineHooks,
+        Telemetry::Metrics&, Telemetry::Tracer*, std::string& error);
     Pipeline(Pipeline const&) = delete;
     Pipeline& operator=(Pipeline const&) = delete;
     ~Pipeline();
@@ -65,7 +65,7 @@
 private:
     class Lane;
 
-    Pipeline(Core::Clock const&, PipelineOptions, PipelineHooks, Telemetry::Metrics&, Telemetry::Tracer*);
+    Pipeline(Core::Clock const&, PipelineOptions const&, PipelineHooks, Telemetry::Metrics&, Telemetry::Tracer*);
 
     Core::Clock const& m_clock;
     PipelineOptions m_options;
