chicorytallyd: Use the pipeline for the packet path

Cause: the daemon built its filters and workers itself and dropped refusals.

Change: the daemon builds a Pipeline with counters, refusals and spans, and passes it the configuration and the peers' endpoints.

--- a/Services/chicorytallyd/ControlLoop.cpp
+++ b/Services/chicorytallyd/ControlLoop.cpp
@@ -60,6 +60,16 @@
     return loadMembers;
 }
 
+DataPath::PeerTable toPeerTable(std::vector<Membership::Member> const& members)
+{
+    DataPath::PeerTable table;
+    for (auto const& member : members) {
+        if (member.dataEndpoint.port)
+            table.emplace(member.vm, member.dataEndpoint);
+    }
+    return table;
+}
+
 std::vector<Distribution::Peer> toPeers(std::vector<Membership::Member> const& members)
 {
     std::vector<Distribution::Peer> peers;
@@ -74,7 +84,7 @@
 ControlLoop::ControlLoop(Core::Clock const& clock, Controllers controllers, std::unique_ptr<PeerChannel> channel,
     std::function<void()> membersKnown)
     : m_clock(clock)
-    , m_controllers(controllers)
+    , m_controllers(std::move(controllers))
     , m_channel(std::move(channel))
     , m_membersKnown(std::move(membersKnown))
 {
@@ -115,6 +125,8 @@
 void ControlLoop::applyMembers()
 {
     auto members = m_controllers.membership.members();
+    // First, so that a decision for a new peer finds its endpoint.
+    m_controllers.applyPeers(members);
     m_controllers.engine.applyMembers(toMemberView(members));
     m_controllers.load.applyMembers(toLoadMembers(members));
     m_controllers.distribution.applyMembers(toPeers(members));
--- a/Services/chicorytallyd/ControlLoop.h
+++ b/Services/chicorytallyd/ControlLoop.h
@@ -3,6 +3,7 @@
 #include "PeerChannel.h"
 #include "ProbeRunner.h"
 
+#include <LibDataPath/DataPath.h>
 #include <LibDistribution/Distribution.h>
 #include <LibLoad/Load.h>
 #include <LibMembership/Membership.h>
@@ -21,6 +22,8 @@
     Placement::Engine& engine;
     Load::LoadController& load;
     ProbeRunner& probes;
+    /// Takes the members for the packet path.
+    std::function<void(std::vector<Membership::Member> const&)> applyPeers;
 };
 
 /// The control thread: carries messages between balancers and the controllers, and calls their ticks.
@@ -65,6 +68,8 @@
 Placement::MemberView toMemberView(std::vector<Membership::Member> const&);
 /// The members as LibLoad sees them.
 std::vector<Load::LoadMember> toLoadMembers(std::vector<Membership::Member> const&);
+/// Where the members receive peer hops.
+DataPath::PeerTable toPeerTable(std::vector<Membership::Member> const&);
 /// The members that LibDistribution can reach.
 std::vector<Distribution::Peer> toPeers(std::vector<Membership::Member> const&);
 
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -70,6 +70,7 @@
     , m_engine(m_clock, engineOptions(m_settings), engineHooks(m_load))
     , m_configuration([this](auto const& configuration) {
         m_load.applyConfiguration(configuration);
+        m_pipeline->applyConfiguration(*configuration);
         if (m_areMembersKnown)
             m_engine.applyConfiguration(configuration);
     })
@@ -95,7 +96,7 @@
 std::unique_ptr<Daemon> Daemon::create(Settings settings, std::string& error)
 {
     std::unique_ptr<Daemon> daemon { new Daemon { std::move(settings) } };
-    if (!daemon->createControl(error) || !daemon->createWorkers(error) || !daemon->createAdminServer(error))
+    if (!daemon->createControl(error) || !daemon->createTracer(error) || !daemon->createPipeline(error) || !daemon->createAdminServer(error))
         return nullptr;
     daemon->createMetrics();
     return daemon;
@@ -106,7 +107,8 @@
     auto channel = PeerChannel::create(m_settings.peerAddress, m_settings.keys, m_self, m_incarnation, error);
     if (!channel)
         return false;
-    Controllers controllers { m_membership, m_distribution, m_engine, m_load, m_probes };
+    Controllers controllers { m_membership, m_distribution, m_engine, m_load, m_probes,
+        [this](std::vector<Membership::Member> const& members) { m_pipeline->applyPeers(toPeerTable(members)); } };
     auto membersKnown = [this] {
         m_areMembersKnown = true;
         // An older revision than one that was applied in between is ignored by the engine.
@@ -117,29 +119,44 @@
     return true;
 }
 
-bool Daemon::createWorkers(std::string& error)
-{
-    auto key = hopKey(m_settings);
-    auto configurationSource = [this] { return m_configuration.configuration(); };
-    auto peerAddressSource = [this](Core::VmId vm) { return m_membership.dataEndpointOf(vm); };
-    auto chain = std::make_shared<DataPath::FilterChain const>(std::vector<DataPath::Filter> {
-        DataPath::makeParseFilter(key),
-        DataPath::makeServiceFilter(configurationSource),
-        DataPath::makePlacementFilter(m_engine),
-        DataPath::makeEncapsulationFilter(key, m_self, peerAddressSource),
-    });
-    for (std::size_t i = 0; i < m_settings.workers; ++i) {
-        DataPath::SocketError socketError;
-        auto udpSocket = DataPath::UdpSocket::bind(m_settings.dataAddress, m_settings.workers > 1, socketError);
-        if (!udpSocket) {
-            error = "--data_address=" + m_settings.dataAddress.toString() + ": " + socketError.toString();
-            return false;
-        }
-        m_workers.push_back(std::make_unique<DataPath::Worker>(std::move(*udpSocket), chain));
+static DataPath::PipelineOptions pipelineOptions(Settings const& settings)
+{
+    DataPath::PipelineOptions options;
+    options.dataAddress = settings.dataAddress;
+    options.workers = settings.workers;
+    options.self = Model::vmId(settings.vmName);
+    options.hopKey = hopKey(settings);
+    options.flowHashKey = settings.flowKey;
+    return options;
+}
+
+bool Daemon::createTracer(std::string& error)
+{
+    if (!m_settings.traceFile)
+        return true;
+    auto sink = Telemetry::makeFileSink(m_settings.traceFile->string(), error);
+    if (!sink) {
+        error = "--trace_file=" + m_settings.traceFile->string() + ": " + error;
+        return false;
     }
+    Telemetry::TracerOptions options { .vmName = m_settings.vmName,
+        .key = m_settings.flowKey,
+        .sampledShare = 1.0 / m_settings.traceSampling };
+    m_tracer = std::make_unique<Telemetry::Tracer>(options, std::move(*sink));
     return true;
 }
 
+bool Daemon::createPipeline(std::string& error)
+{
+    DataPath::PipelineHooks hooks { .decide = [this](Placement::PacketInfo const& packet) { return m_engine.decide(packet); } };
+    m_pipeline = DataPath::Pipeline::create(
+        m_clock, pipelineOptions(m_settings), std::move(hooks), m_metrics, m_tracer.get(), error);
+    if (m_pipeline)
+        return true;
+    error = "--data_address=" + m_settings.dataAddress.toString() + ": " + error;
+    return false;
+}
+
 bool Daemon::createAdminServer(std::string& error)
 {
     if (!m_settings.adminAddress)
@@ -193,37 +210,30 @@
 {
     reload();
     m_control->start();
-    for (auto& worker : m_workers)
-        worker->start();
+    if (m_tracer)
+        m_tracer->start();
+    m_pipeline->start();
     if (m_adminServer)
         m_adminServer->start();
     logEvent(Level::Info, "started",
         { { "vm", m_settings.vmName }, { "zone", m_settings.zoneName },
             { "data_address", m_settings.dataAddress.toString() },
-            { "peer_address", m_settings.peerAddress.toString() }, { "workers", m_workers.size() },
+            { "peer_address", m_settings.peerAddress.toString() }, { "workers", m_settings.workers },
             { "incarnation", m_incarnation.value() } });
 }
 
-std::uint64_t Daemon::receivedPackets() const
-{
-    std::uint64_t received = 0;
-    for (auto const& worker : m_workers)
-        received += worker->counters().received;
-    return received;
-}
-
 void Daemon::waitUntilDrained()
 {
     auto deadline = m_clock.now() + m_settings.shutdownDeadline;
     auto quietSince = m_clock.now();
-    auto received = receivedPackets();
+    auto received = m_pipeline->receivedCount();
     while (m_clock.now() < deadline) {
         if (m_engine.isDrained() && m_clock.now() - quietSince >= QuietTime)
             return;
         std::this_thread::sleep_for(DrainPollInterval);
-        if (receivedPackets() == received)
+        if (m_pipeline->receivedCount() == received)
             continue;
-        received = receivedPackets();
+        received = m_pipeline->receivedCount();
         quietSince = m_clock.now();
     }
     logEvent(Level::Warn, "shutdown_deadline_passed", { { "drained", m_engine.isDrained() } });
@@ -236,13 +246,14 @@
     m_membership.announceLeave();
     m_engine.prepareShutdown();
     waitUntilDrained();
-    for (auto& worker : m_workers)
-        worker->stop();
+    m_pipeline->stop();
+    if (m_tracer)
+        m_tracer->stop();
     m_control->stop();
     m_probes.stop();
     if (m_adminServer)
         m_adminServer->stop();
-    logEvent(Level::Info, "stopped", { { "vm", m_settings.vmName }, { "received", receivedPackets() } });
+    logEvent(Level::Info, "stopped", { { "vm", m_settings.vmName }, { "received", m_pipeline->receivedCount() } });
 }
 
 }
--- a/Services/chicorytallyd/Daemon.h
+++ b/Services/chicorytallyd/Daemon.h
@@ -37,11 +37,11 @@
     explicit Daemon(Settings);
 
     bool createControl(std::string& error);
-    bool createWorkers(std::string& error);
+    bool createTracer(std::string& error);
+    bool createPipeline(std::string& error);
     bool createAdminServer(std::string& error);
     void createMetrics();
     bool isReady() const;
-    std::uint64_t receivedPackets() const;
     void waitUntilDrained();
 
     Settings m_settings;
@@ -59,7 +59,8 @@
     ProbeRunner m_probes;
     Telemetry::Metrics m_metrics;
     std::unique_ptr<ControlLoop> m_control;
-    std::vector<std::unique_ptr<DataPath::Worker>> m_workers;
+    std::unique_ptr<Telemetry::Tracer> m_tracer;
+    std::unique_ptr<DataPath::Pipeline> m_pipeline;
     std::unique_ptr<Telemetry::AdminServer> m_adminServer;
 };
 
