LibDistribution: Spread the greatest revision as deltas and paced copies

Cause: the stand-in talked to no peer. Change: rumour spreading and comparisons of digests within the zone, deltas with a digest of the result, full copies in chunks from several peers under a byte budget, two readers a zone that take turns while the platform is silent, peers before the platform for a newcomer, refusal of whole sets.

--- a/Benchmarks/HarnessControl/Fleet.cpp
+++ b/Benchmarks/HarnessControl/Fleet.cpp
@@ -255,7 +255,7 @@
 {
     auto& node = *m_nodes[index];
     m_platform.countRead(m_clock.now());
-    auto known = node.distribution->revision();
+    auto known = node.distribution->platformRevision();
     auto deadline = m_clock.now() + m_platform.watchTime;
     schedule(m_platform.answerTime,
         [this, index, life = node.life, known, deadline] { endRead(index, life, known, deadline); });
--- a/Libraries/LibDistribution/Controller.cpp
+++ b/Libraries/LibDistribution/Controller.cpp
@@ -1,80 +1,124 @@
 #include <LibDistribution/Controller.h>
-
-#include <absl/synchronization/mutex.h>
+#include <LibDistribution/Distributor.h>
 
 namespace Chicorytally::Distribution {
 
-// FIXME: A stand-in that talks to no peer, so that the daemon can be built against the interface.
-class Controller::State {
-public:
-    explicit State(Hooks hooks)
-        : m_hooks(std::move(hooks))
+Controller::Controller(Core::Clock const& clock, Options options, Hooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_distributor(std::make_unique<Distributor>(clock, options))
+{
+}
+
+Controller::~Controller() = default;
+
+void Controller::settle()
+{
+    absl::MutexLock order { &m_acceptLock };
+    for (;;) {
+        std::optional<Candidate> candidate;
+        {
+            absl::MutexLock lock { &m_lock };
+            candidate = m_distributor->takeCandidate();
+            if (!candidate || candidate->revision <= m_distributor->files().revision())
+                return;
+        }
+        std::string reason;
+        bool isAccepted = !m_hooks.accept || m_hooks.accept(candidate->revision, candidate->files, reason);
+        absl::MutexLock lock { &m_lock };
+        if (isAccepted)
+            m_distributor->commit(std::move(*candidate));
+        else
+            m_distributor->refuse(*candidate, std::move(reason));
+    }
+}
+
+void Controller::offerPlatformCopy(Core::Revision revision, FileSet files)
+{
     {
+        absl::MutexLock lock { &m_lock };
+        m_distributor->offerPlatformCopy(revision, std::move(files));
     }
+    settle();
+}
 
-    Hooks m_hooks;
-    mutable absl::Mutex m_lock;
-    Core::Revision m_revision ABSL_GUARDED_BY(m_lock);
-    FileSet m_files ABSL_GUARDED_BY(m_lock);
-    Counters m_counters ABSL_GUARDED_BY(m_lock);
-    std::string m_lastRefusal ABSL_GUARDED_BY(m_lock);
-};
+void Controller::platformUnchanged()
+{
+    absl::MutexLock lock { &m_lock };
+    m_distributor->platformUnchanged();
+}
 
-Controller::Controller(Core::Clock const&, Options, Hooks hooks)
-    : m_state(std::make_unique<State>(std::move(hooks)))
+void Controller::platformFailed()
 {
+    absl::MutexLock lock { &m_lock };
+    m_distributor->platformFailed();
 }
 
-Controller::~Controller() = default;
+bool Controller::shouldReadPlatform()
+{
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->shouldReadPlatform();
+}
 
-void Controller::offerPlatformCopy(Core::Revision revision, FileSet files)
+void Controller::receive(Core::VmId sender, Messages::DistributionMessage const& message)
+{
+    {
+        absl::MutexLock lock { &m_lock };
+        m_distributor->receive(sender, message);
+    }
+    settle();
+}
+
+std::vector<OutgoingMessage> Controller::tick()
 {
-    std::string reason;
-    if (revision <= this->revision())
-        return;
-    bool isAccepted = !m_state->m_hooks.accept || m_state->m_hooks.accept(revision, files, reason);
-    absl::MutexLock lock { &m_state->m_lock };
-    if (!isAccepted) {
-        ++m_state->m_counters.refused;
-        m_state->m_lastRefusal = reason;
-        return;
+    std::vector<OutgoingMessage> messages;
+    {
+        absl::MutexLock lock { &m_lock };
+        messages = m_distributor->tick();
     }
-    ++m_state->m_counters.accepted;
-    m_state->m_revision = revision;
-    m_state->m_files = std::move(files);
+    settle();
+    return messages;
 }
 
-void Controller::platformUnchanged() { }
-void Controller::platformFailed() { }
-bool Controller::shouldReadPlatform() { return true; }
-void Controller::receive(Core::VmId, Messages::DistributionMessage const&) { }
-std::vector<OutgoingMessage> Controller::tick() { return {}; }
-void Controller::applyMembers(std::vector<Peer> const&) { }
+void Controller::applyMembers(std::vector<Peer> const& peers)
+{
+    absl::MutexLock lock { &m_lock };
+    m_distributor->applyMembers(peers);
+}
 
 Core::Revision Controller::revision() const
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    return m_state->m_revision;
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->files().revision();
+}
+
+Core::Revision Controller::platformRevision() const
+{
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->platformRevision();
 }
 
-std::uint64_t Controller::digest() const { return digestOf(files()); }
+std::uint64_t Controller::digest() const
+{
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->files().digest();
+}
 
 FileSet Controller::files() const
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    return m_state->m_files;
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->files().files();
 }
 
 Counters Controller::counters() const
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    return m_state->m_counters;
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->counters();
 }
 
 std::string Controller::lastRefusal() const
 {
-    absl::MutexLock lock { &m_state->m_lock };
-    return m_state->m_lastRefusal;
+    absl::MutexLock lock { &m_lock };
+    return m_distributor->lastRefusal();
 }
 
 }
--- a/Libraries/LibDistribution/Controller.h
+++ b/Libraries/LibDistribution/Controller.h
@@ -4,12 +4,17 @@
 #include <LibDistribution/Options.h>
 #include <LibMessages/Messages.h>
 
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace Chicorytally::Distribution {
 
+class Distributor;
+
 /// A message that is due.
 struct OutgoingMessage {
     Core::VmId receiver;
@@ -40,6 +45,9 @@
 
     /// The revision in force; not valid without a configuration.
     Core::Revision revision() const;
+    /// The revision that the platform gave last, also when it was refused or older. A watch waits for another one;
+    /// otherwise a refused revision would end each watch at once.
+    Core::Revision platformRevision() const;
     std::uint64_t digest() const;
     FileSet files() const;
     Counters counters() const;
@@ -47,8 +55,13 @@
     std::string lastRefusal() const;
 
 private:
-    class State;
-    std::unique_ptr<State> m_state;
+    void settle();
+
+    Hooks m_hooks;
+    /// Held during the accept hook, so that revisions are accepted in order.
+    absl::Mutex m_acceptLock;
+    mutable absl::Mutex m_lock;
+    std::unique_ptr<Distributor> m_distributor ABSL_PT_GUARDED_BY(m_lock);
 };
 
 }
--- /dev/null
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -0,0 +1,87 @@
+#include <LibDistribution/Transfer.h>
+
+#include <LibDistribution/FileSet.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Distribution {
+
+/// A requested chunk that hasn't come by then is asked for again.
+static constexpr std::chrono::milliseconds ChunkTimeout { 1000 };
+/// Twice the size of a file set, for names and encoding.
+static constexpr std::size_t MaximumChunks = 2 * MaximumFileSetSize / 1000;
+
+static Core::Revision fromRevisionOf(Messages::CopyChunk const& chunk)
+{
+    return Core::Revision { chunk.__isset.fromRevision ? static_cast<std::uint64_t>(chunk.fromRevision) : 0 };
+}
+
+std::optional<Transfer> Transfer::create(Messages::CopyChunk const& chunk, Core::VmId source, Core::TimePoint now)
+{
+    if (chunk.count < 1 || static_cast<std::size_t>(chunk.count) > MaximumChunks)
+        return std::nullopt;
+    Transfer transfer;
+    transfer.m_revision = Core::Revision { static_cast<std::uint64_t>(chunk.revision) };
+    transfer.m_digest = static_cast<std::uint64_t>(chunk.digest);
+    transfer.m_fromRevision = fromRevisionOf(chunk);
+    transfer.m_chunks.resize(static_cast<std::size_t>(chunk.count));
+    transfer.m_missing = transfer.m_chunks.size();
+    transfer.m_progressAt = now;
+    transfer.addSource(source);
+    return transfer;
+}
+
+bool Transfer::matches(Messages::CopyChunk const& chunk) const
+{
+    return static_cast<std::uint64_t>(chunk.revision) == m_revision.value()
+        && static_cast<std::uint64_t>(chunk.digest) == m_digest && fromRevisionOf(chunk) == m_fromRevision
+        && static_cast<std::size_t>(chunk.count) == m_chunks.size();
+}
+
+void Transfer::add(Messages::CopyChunk const& chunk, Core::TimePoint now)
+{
+    if (chunk.index < 0 || static_cast<std::size_t>(chunk.index) >= m_chunks.size())
+        return;
+    auto& slot = m_chunks[static_cast<std::size_t>(chunk.index)];
+    if (slot.content)
+        return;
+    slot.content = chunk.content;
+    --m_missing;
+    m_progressAt = now;
+}
+
+std::string Transfer::content() const
+{
+    std::string content;
+    for (auto const& chunk : m_chunks)
+        content += chunk.content.value_or("");
+    return content;
+}
+
+bool Transfer::isMissing(std::size_t index, Core::TimePoint now) const
+{
+    if (index >= m_chunks.size())
+        return false;
+    auto const& chunk = m_chunks[index];
+    bool isUnderWay = chunk.requestedAt && now - *chunk.requestedAt < ChunkTimeout;
+    return !chunk.content && !isUnderWay;
+}
+
+std::optional<std::size_t> Transfer::nextMissing(Core::TimePoint now) const
+{
+    for (std::size_t index = 0; index < m_chunks.size(); ++index) {
+        if (isMissing(index, now))
+            return index;
+    }
+    return std::nullopt;
+}
+
+void Transfer::addSource(Core::VmId vm)
+{
+    if (std::find(m_sources.begin(), m_sources.end(), vm) == m_sources.end())
+        m_sources.push_back(vm);
+}
+
+void Transfer::removeSource(Core::VmId vm) { std::erase(m_sources, vm); }
+
+}
--- /dev/null
+++ b/Tests/LibDistribution/TestFleet.cpp
@@ -0,0 +1,315 @@
+#include <HarnessControl/Fleet.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Benchmarks::Fleet;
+using Benchmarks::FleetOptions;
+using Benchmarks::VirtualPlatform;
+using Core::Revision;
+using Distribution::FileSet;
+
+namespace Data = boost::unit_test::data;
+
+/// Requirement: an accepted configuration is in force everywhere within this time.
+static constexpr std::chrono::milliseconds InForceBound { 12'000 };
+
+BOOST_AUTO_TEST_SUITE(TestDistributionFleet)
+
+static FileSet filesOf(std::uint64_t revision, std::size_t size = 200)
+{
+    FileSet files;
+    files["10-zones.toml"] = "zones";
+    files["20-service.toml"] = "revision " + std::to_string(revision) + std::string(size, 'x');
+    files["30-new-" + std::to_string(revision) + ".toml"] = "added";
+    return files;
+}
+
+static std::unique_ptr<Fleet> fleetOf(FleetOptions options)
+{
+    options.hasDistribution = true;
+    return std::make_unique<Fleet>(std::move(options));
+}
+
+static std::unique_ptr<Fleet> runningFleet(FleetOptions options)
+{
+    auto fleet = fleetOf(std::move(options));
+    fleet->publish(Revision { 1 }, filesOf(1));
+    fleet->startAll();
+    BOOST_TEST_REQUIRE(fleet->runUntil([&] { return fleet->isInForceEverywhere(Revision { 1 }); }, 30s).has_value());
+    fleet->run(5s);
+    return fleet;
+}
+
+static bool hasNeverReverted(Fleet& fleet)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        auto const& accepted = fleet.node(i).acceptedRevisions;
+        for (std::size_t j = 1; j < accepted.size(); ++j) {
+            if (accepted[j] <= accepted[j - 1])
+                return false;
+        }
+    }
+    return true;
+}
+
+struct Shape {
+    std::size_t nodes;
+    std::size_t zones;
+    double loss;
+    std::size_t size;
+
+    friend std::ostream& operator<<(std::ostream& stream, Shape const& shape)
+    {
+        return stream << shape.nodes << " nodes, " << shape.zones << " zones, loss " << shape.loss << ", " << shape.size
+                      << " bytes";
+    }
+};
+
+static std::vector<Shape> const s_shapes { { 1, 1, 0, 200 }, { 4, 4, 0.2, 200 }, { 5, 3, 0, 20'000 },
+    { 40, 2, 0.05, 200 }, { 90, 9, 0.05, 5000 } };
+
+BOOST_DATA_TEST_CASE(ChangeIsInForceEverywhereInTime, Data::make(s_shapes), shape)
+{
+    // Guards against a member that a change doesn't reach, or reaches in part or too late.
+    auto owner = runningFleet({ .nodes = shape.nodes, .zones = shape.zones, .seed = 21, .loss = shape.loss });
+    auto& fleet = *owner;
+    for (std::uint64_t revision : { 2, 3, 7 }) {
+        fleet.publish(Revision { revision }, filesOf(revision, shape.size));
+        auto passed = fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { revision }); }, InForceBound);
+        BOOST_TEST(passed.has_value());
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            BOOST_TEST((fleet.node(i).distribution->files() == filesOf(revision, shape.size)));
+    }
+    BOOST_TEST(hasNeverReverted(fleet));
+}
+
+BOOST_AUTO_TEST_CASE(OlderCopiesOfThePlatformAreIgnored)
+{
+    // Guards against a replica of the platform that lags, or replicas that alternate, taking a change back.
+    auto owner = runningFleet({ .nodes = 6, .zones = 2, .seed = 22 });
+    auto& fleet = *owner;
+    VirtualPlatform::Copy older { Revision { 1 }, filesOf(1) };
+    std::uint64_t reads = 0;
+    fleet.publish(Revision { 2 }, filesOf(2));
+    fleet.platform().replica = [&](std::size_t) { return ++reads % 3 == 0 ? nullptr : &older; };
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 2 }); }, InForceBound).has_value());
+    fleet.run(60s);
+    BOOST_TEST(fleet.isInForceEverywhere(Revision { 2 }));
+    BOOST_TEST(hasNeverReverted(fleet));
+    std::uint64_t ignored = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        ignored += fleet.node(i).distribution->counters().ignoredOlder;
+    BOOST_TEST(ignored > 0U);
+    // A replica that alternates ends every watch at once; the reads must not become a loop.
+    BOOST_TEST(fleet.platform().busiestSecond <= 2U * 2U + 2U);
+}
+
+BOOST_AUTO_TEST_CASE(NewcomerAsksItsPeersFirst)
+{
+    // Guards against a restarted balancer that takes an old copy of the platform into force.
+    auto owner = runningFleet({ .nodes = 6, .zones = 3, .seed = 23 });
+    auto& fleet = *owner;
+    fleet.publish(Revision { 5 }, filesOf(5));
+    BOOST_TEST_REQUIRE(
+        fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 5 }); }, InForceBound).has_value());
+    VirtualPlatform::Copy older { Revision { 1 }, filesOf(1) };
+    fleet.platform().replica = [&](std::size_t) { return &older; };
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.crash(i);
+        fleet.run(1s);
+        fleet.start(i);
+        BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 5 }); }, InForceBound).has_value());
+        BOOST_TEST((fleet.node(i).acceptedRevisions.front() == Revision { 5 }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(NewcomerTakesTheNewerOfPeersAndPlatform)
+{
+    // Guards against a newcomer that is content with its peers' copy while the platform has a newer one.
+    auto owner = fleetOf({ .nodes = 4, .zones = 2, .seed = 24 });
+    auto& fleet = *owner;
+    fleet.startAll();
+    fleet.run(10s);
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        BOOST_TEST(!fleet.node(i).distribution->revision().isValid());
+    fleet.publish(Revision { 1 }, filesOf(1));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 1 }); }, InForceBound).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(PlatformDownLeavesThePeers)
+{
+    // Guards against a newcomer that can't start while the platform is down.
+    auto owner = runningFleet({ .nodes = 5, .zones = 3, .seed = 25 });
+    auto& fleet = *owner;
+    fleet.platform().isReachable = [](std::size_t) { return false; };
+    fleet.run(30s);
+    fleet.crash(2);
+    fleet.run(10s);
+    fleet.start(2);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 1 }); }, InForceBound).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SilentReadersAreReplaced)
+{
+    // Guards against a zone whose two readers are alive but don't reach the platform.
+    auto owner = runningFleet({ .nodes = 12, .zones = 1, .seed = 26 });
+    auto& fleet = *owner;
+    // Only one member reaches the platform, whichever the readers are.
+    for (std::size_t only : { 0, 5, 11 }) {
+        fleet.platform().isReachable = [only](std::size_t node) { return node == only; };
+        fleet.run(60s);
+        auto revision = Revision { 10 + only };
+        fleet.publish(revision, filesOf(revision.value()));
+        BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(revision); }, 60s).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ZoneWithoutPlatformIsServedByOthers)
+{
+    // Guards against a zone that is cut off from the platform alone and keeps an old configuration.
+    auto owner = runningFleet({ .nodes = 12, .zones = 4, .seed = 27 });
+    auto& fleet = *owner;
+    fleet.platform().isReachable = [](std::size_t node) { return node % 4 != 1; };
+    fleet.run(30s);
+    fleet.publish(Revision { 2 }, filesOf(2));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 2 }); }, InForceBound).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(PartsOfAPartitionMeetAtTheGreatestRevision)
+{
+    // Guards against the older side of a healed partition taking the newer side back.
+    auto owner = runningFleet({ .nodes = 8, .zones = 2, .seed = 28 });
+    auto& fleet = *owner;
+    fleet.isConnected = [](std::size_t from, std::size_t to) { return from % 2 == to % 2; };
+    fleet.platform().isReachable = [](std::size_t node) { return node % 2 == 0; };
+    fleet.publish(Revision { 2 }, filesOf(2));
+    fleet.run(30s);
+    BOOST_TEST((fleet.node(0).distribution->revision() == Revision { 2 }));
+    BOOST_TEST((fleet.node(1).distribution->revision() == Revision { 1 }));
+    fleet.isConnected = [](std::size_t, std::size_t) { return true; };
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 2 }); }, InForceBound).has_value());
+    BOOST_TEST(hasNeverReverted(fleet));
+}
+
+BOOST_AUTO_TEST_CASE(BadConfigurationIsRefusedAsAWhole)
+{
+    // Guards against a bad change that is applied in part, replaces the last good one, or is tried for ever.
+    auto owner = fleetOf({ .nodes = 4, .zones = 2, .seed = 29 });
+    auto& fleet = *owner;
+    fleet.publish(Revision { 1 }, filesOf(1));
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.node(i).refusedContent = "bad";
+    fleet.startAll();
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 1 }); }, 30s).has_value());
+    auto bad = filesOf(2);
+    bad["40-bad.toml"] = "bad";
+    fleet.publish(Revision { 2 }, bad);
+    fleet.run(30s);
+    std::uint64_t refused = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        auto const& distribution = *fleet.node(i).distribution;
+        BOOST_TEST((distribution.files() == filesOf(1)));
+        BOOST_TEST(distribution.counters().refused <= 1U);
+        refused += distribution.counters().refused;
+    }
+    BOOST_TEST(refused >= 1U);
+    auto readsBefore = fleet.platform().reads;
+    fleet.run(30s);
+    // A watch waits for 3 s, also while a refused revision stands.
+    BOOST_TEST(fleet.platform().reads - readsBefore <= 4U * 11U);
+    fleet.publish(Revision { 3 }, filesOf(3));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 3 }); }, InForceBound).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusalByOldVersionsDoesNotStopNewOnes)
+{
+    // Guards against a rolling change in which an old version refuses what a new one understands.
+    auto owner = runningFleet({ .nodes = 6, .zones = 1, .seed = 30 });
+    auto& fleet = *owner;
+    auto files = filesOf(2);
+    files["40-newer.toml"] = "newer";
+    for (std::size_t old : { 0, 1, 2 })
+        fleet.node(old).refusedContent = "newer";
+    fleet.publish(Revision { 2 }, files);
+    auto isInForceAtNew = [&] {
+        return fleet.node(3).distribution->revision() == Revision { 2 }
+        && fleet.node(4).distribution->revision() == Revision { 2 }
+        && fleet.node(5).distribution->revision() == Revision { 2 };
+    };
+    BOOST_TEST(fleet.runUntil(isInForceAtNew, InForceBound).has_value());
+    BOOST_TEST((fleet.node(0).distribution->revision() == Revision { 1 }));
+}
+
+BOOST_DATA_TEST_CASE(LargeCopyReachesANewcomer, Data::make({ 0.0, 0.1 }), loss)
+{
+    // Guards against a copy of 1 MB that doesn't fit datagrams, exceeds its pace, or fails under loss.
+    auto owner = fleetOf({ .nodes = 5, .zones = 3, .seed = 31, .isSealed = true });
+    auto& fleet = *owner;
+    FileSet large;
+    for (int i = 0; i < 10; ++i)
+        large["file-" + std::to_string(i)] = std::string(104'000, static_cast<char>('a' + i));
+    fleet.publish(Revision { 9 }, large);
+    fleet.startAll();
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 9 }); }, 60s).has_value());
+    fleet.platform().isReachable = [](std::size_t) { return false; };
+    fleet.setLoss(loss);
+    fleet.crash(4);
+    fleet.run(10s);
+    fleet.resetTraffic();
+    fleet.start(4);
+    auto passed = fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 9 }); }, 30s);
+    BOOST_TEST_REQUIRE(passed.has_value());
+    // 1 MB at 100 KB/s takes 10.4 s.
+    BOOST_TEST(passed->count() >= 9'000);
+    std::uint64_t served = 0;
+    for (std::size_t i = 0; i < 4; ++i) {
+        served += fleet.node(i).distributionSent.bytes;
+        auto const& sent = fleet.node(i).distributionSent;
+        BOOST_TEST(static_cast<double>(sent.bytes) / static_cast<double>(sent.messages) <= 1228.0);
+        // The peers share the work.
+        BOOST_TEST(sent.bytes <= 800'000U);
+    }
+    BOOST_TEST(static_cast<double>(served) <= 1'040'000 * (1.25 + 2 * loss));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsStayFarBelowTheBudget)
+{
+    // Guards against readers that come back all at once when the platform returns, and against a cold start in which
+    // every member reads.
+    auto owner = fleetOf({ .nodes = 120, .zones = 6, .seed = 32 });
+    auto& fleet = *owner;
+    fleet.publish(Revision { 1 }, filesOf(1));
+    fleet.startAll();
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 1 }); }, 30s).has_value());
+    BOOST_TEST(fleet.platform().busiestSecond <= 24U);
+
+    fleet.platform().isReachable = [](std::size_t) { return false; };
+    fleet.run(3min);
+    auto before = fleet.platform().reads;
+    fleet.run(2min);
+    // Two readers in each of 6 zones, each with a read in at most 2 s on the average.
+    BOOST_TEST(fleet.platform().reads - before <= 12U * 60U);
+    fleet.platform().busiestSecond = 0;
+    fleet.platform().isReachable = [](std::size_t) { return true; };
+    fleet.publish(Revision { 2 }, filesOf(2));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 2 }); }, InForceBound).has_value());
+    BOOST_TEST(fleet.platform().busiestSecond <= 24U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowPlatformDelaysNobodyElse)
+{
+    // Guards against reads that pile up while the platform answers slowly.
+    auto owner = runningFleet({ .nodes = 6, .zones = 2, .seed = 33 });
+    auto& fleet = *owner;
+    fleet.platform().answerTime = 8s;
+    auto before = fleet.platform().reads;
+    fleet.run(60s);
+    BOOST_TEST(fleet.platform().reads - before <= 2U * 2U * 15U);
+    BOOST_TEST(fleet.isInForceEverywhere(Revision { 1 }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
