Benchmarks: Follow the key ring in the control harness

Cause: the envelope opener takes a ring of keys since keys can be replaced.

Change: the harness passes a ring with one key.

--- a/Benchmarks/HarnessControl/Fleet.cpp
+++ b/Benchmarks/HarnessControl/Fleet.cpp
@@ -102,7 +102,7 @@
     node.incarnation = Core::Incarnation { node.incarnation.value() + 1000 };
     node.acceptedRevisions.clear();
     node.sealer = std::make_unique<Messages::EnvelopeSealer>(m_key, node.vm, node.incarnation);
-    node.opener = std::make_unique<Messages::EnvelopeOpener>(m_key);
+    node.opener = std::make_unique<Messages::EnvelopeOpener>(Messages::KeyRing { m_key, {} });
 
     auto options = m_options.membership;
     options.self = node.vm;
