--- a/Services/chicorytallyd/AdminRoutes.cpp
+++ b/Services/chicorytallyd/AdminRoutes.cpp
@@ -197,7 +197,8 @@
     auto parameter = request.parameters.find("flow");
     auto flow = parameter != request.parameters.end() ? parseFlow(parameter->second) : std::nullopt;
     if (!flow)
-        return answer({ { "error", "write flow=PROTOCOL,CALLER_IP:PORT,SERVICE_IP:PORT with protocol tcp or udp" } }, StatusBadRequest);
+        return answer({ { "error", "write flow=PROTOCOL,CALLER_IP:PORT,SERVICE_IP:PORT with protocol tcp or udp" } },
+            StatusBadRequest);
     auto configuration = sources.configuration.configuration();
     auto const* service = configuration ? configuration->findService(flow->destination, flow->protocol) : nullptr;
     auto explanation = service ? sources.engine.explain(service->id, *flow) : std::nullopt;
--- a/Services/chicorytallyd/ControlLoop.cpp
+++ b/Services/chicorytallyd/ControlLoop.cpp
@@ -140,7 +140,8 @@
     queueMembership();
     if (m_areMembersChanged.exchange(false))
         applyMembers();
-    if (!m_areMembersKnown && m_controllers.membership.isConfirmed()) {
+    // Without shares of the limits, the process would refuse the opens of the buckets that it owned.
+    if (!m_areMembersKnown && m_controllers.membership.isConfirmed() && m_controllers.load.isReady()) {
         m_areMembersKnown = true;
         m_membersKnown();
     }
--- a/Services/chicorytallyd/ControlLoop.h
+++ b/Services/chicorytallyd/ControlLoop.h
@@ -30,7 +30,8 @@
 class ControlLoop {
 public:
     /// The hook is called once, when the members are known: this process is confirmed by one of them, or none can be
-    /// reached. Before that, the placement engine must have no configuration, as it would take itself to be alone.
+    /// reached, and it has its shares of the limits. Before that, the placement engine must have no configuration, as
+    /// it would take itself to be alone.
     ControlLoop(Core::Clock const&, Controllers, std::unique_ptr<PeerChannel>, std::function<void()> membersKnown);
     ControlLoop(ControlLoop const&) = delete;
     ControlLoop& operator=(ControlLoop const&) = delete;
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -74,6 +74,7 @@
         if (m_areMembersKnown)
             m_engine.applyConfiguration(configuration);
     })
+    , m_startupRelay(m_self)
     , m_membership(m_clock, membershipOptions(m_settings, m_incarnation),
           { .membersChanged =
                   [this] {
@@ -96,7 +97,8 @@
 std::unique_ptr<Daemon> Daemon::create(Settings settings, std::string& error)
 {
     std::unique_ptr<Daemon> daemon { new Daemon { std::move(settings) } };
-    if (!daemon->createControl(error) || !daemon->createTracer(error) || !daemon->createPipeline(error) || !daemon->createAdminServer(error))
+    if (!daemon->createControl(error) || !daemon->createTracer(error) || !daemon->createPipeline(error)
+        || !daemon->createAdminServer(error))
         return nullptr;
     daemon->createMetrics();
     return daemon;
@@ -108,12 +110,15 @@
     if (!channel)
         return false;
     Controllers controllers { m_membership, m_distribution, m_engine, m_load, m_probes,
-        [this](std::vector<Membership::Member> const& members) { m_pipeline->applyPeers(toPeerTable(members)); } };
+        [this](std::vector<Membership::Member> const& members) {
+            m_pipeline->applyPeers(toPeerTable(members));
+            m_startupRelay.applyMembers(members);
+        } };
     auto membersKnown = [this] {
-        m_areMembersKnown = true;
         // An older revision than one that was applied in between is ignored by the engine.
         if (auto configuration = m_configuration.configuration())
             m_engine.applyConfiguration(configuration);
+        m_areMembersKnown = true;
     };
     m_control = std::make_unique<ControlLoop>(m_clock, controllers, std::move(channel), membersKnown);
     return true;
@@ -139,16 +144,18 @@
         error = "--trace_file=" + m_settings.traceFile->string() + ": " + error;
         return false;
     }
-    Telemetry::TracerOptions options { .vmName = m_settings.vmName,
-        .key = m_settings.flowKey,
-        .sampledShare = 1.0 / m_settings.traceSampling };
+    Telemetry::TracerOptions options {
+        .vmName = m_settings.vmName, .key = m_settings.flowKey, .sampledShare = 1.0 / m_settings.traceSampling
+    };
     m_tracer = std::make_unique<Telemetry::Tracer>(options, std::move(*sink));
     return true;
 }
 
 bool Daemon::createPipeline(std::string& error)
 {
-    DataPath::PipelineHooks hooks { .decide = [this](Placement::PacketInfo const& packet) { return m_engine.decide(packet); } };
+    DataPath::PipelineHooks hooks { .decide = [this](Placement::PacketInfo const& packet) {
+        return m_areMembersKnown ? m_engine.decide(packet) : m_startupRelay.decide(packet);
+    } };
     m_pipeline = DataPath::Pipeline::create(
         m_clock, pipelineOptions(m_settings), std::move(hooks), m_metrics, m_tracer.get(), error);
     if (m_pipeline)
@@ -189,7 +196,10 @@
         "chicorytally_ready", "1 when packets may be sent to this balancer", [this] { return isReady() ? 1 : 0; });
 }
 
-bool Daemon::isReady() const { return !m_isStopping && m_engine.synchronised() && m_membership.isConfirmed() && m_load.isReady(); }
+bool Daemon::isReady() const
+{
+    return !m_isStopping && m_engine.synchronised() && m_membership.isConfirmed() && m_load.isReady();
+}
 
 void Daemon::reload()
 {
--- a/Services/chicorytallyd/Daemon.h
+++ b/Services/chicorytallyd/Daemon.h
@@ -4,6 +4,7 @@
 #include "ControlLoop.h"
 #include "ProbeRunner.h"
 #include "Settings.h"
+#include "StartupRelay.h"
 
 #include <LibConfig/Config.h>
 #include <LibDataPath/DataPath.h>
@@ -54,6 +55,7 @@
     Load::LoadController m_load;
     Placement::Engine m_engine;
     ConfigurationController m_configuration;
+    StartupRelay m_startupRelay;
     Membership::Controller m_membership;
     Distribution::Controller m_distribution;
     ProbeRunner m_probes;
--- a/Services/chicorytallyd/Settings.cpp
+++ b/Services/chicorytallyd/Settings.cpp
@@ -3,7 +3,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
-#include <absl/flags/usage.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -235,8 +234,6 @@
 
 std::optional<Settings> parseSettings(int argc, char** argv, std::string& error)
 {
-    absl::SetProgramUsageMessage(
-        "Layer-4 load balancer. Every flag can also be set by the environment variable CHICORYTALLY_FLAGNAME.");
     if (!applyEnvironment(error))
         return std::nullopt;
     auto rest = absl::ParseCommandLine(argc, argv);
--- a/Services/chicorytallyd/main.cpp
+++ b/Services/chicorytallyd/main.cpp
@@ -1,5 +1,7 @@
 #include "Daemon.h"
 
+#include <absl/flags/usage.h>
+
 #include <csignal>
 #include <iostream>
 #include <pthread.h>
@@ -40,6 +42,8 @@
         std::cerr << "chicorytallyd: libsodium can't be initialised\n";
         return EXIT_FAILURE;
     }
+    absl::SetProgramUsageMessage(
+        "Layer-4 load balancer. Every flag can also be set by the environment variable CHICORYTALLY_FLAGNAME.");
     auto settings = Daemon::parseSettings(argc, argv, error);
     if (!settings) {
         std::cerr << "chicorytallyd: " << error << "\n";
