--- a/Benchmarks/FuzzPacket/FuzzPacket.cpp
+++ b/Benchmarks/FuzzPacket/FuzzPacket.cpp
@@ -47,6 +47,8 @@
     Packet::decrementHopLimit(copy);
 }
 
+// libFuzzer calls the target by this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size)
 {
     Packet::Bytes datagram { data, size };
--- a/Tests/StandIns/StandIn.h
+++ b/Tests/StandIns/StandIn.h
@@ -16,6 +16,7 @@
 namespace Chicorytally::StandIns {
 
 inline volatile std::sig_atomic_t s_isStopping = 0;
+inline volatile std::sig_atomic_t s_isReloadDue = 0;
 
 inline void stopOnSignals()
 {
@@ -24,6 +25,19 @@
     std::signal(SIGINT, handler);
 }
 
+inline void reloadOnHangup()
+{
+    std::signal(SIGHUP, [](int) { s_isReloadDue = 1; });
+}
+
+/// The inner packet of a GUE datagram; nothing when it is malformed.
+inline std::optional<Packet::ParsedPacket> unwrap(Packet::Bytes datagram)
+{
+    auto encapsulated = Packet::parseGue(datagram);
+    auto error = Packet::ParseError::None;
+    return encapsulated ? Packet::parse(encapsulated->inner, error) : std::nullopt;
+}
+
 inline Core::Endpoint endpointOrExit(std::string_view flag, std::string const& text)
 {
     if (auto endpoint = Core::Endpoint::parse(text))
