--- a/Libraries/LibPlacement/BucketState.h
+++ b/Libraries/LibPlacement/BucketState.h
@@ -49,10 +49,7 @@
     std::optional<Proposal> proposal;
 
     /// Every balancer may send packets without a record to the baseline.
-    bool isSteady() const
-    {
-        return isKnown && !isTracked && baseline == target && baseline != NoUpstreamIndex;
-    }
+    bool isSteady() const { return isKnown && !isTracked && baseline == target && baseline != NoUpstreamIndex; }
 
     void track(Epoch newEpoch, Core::TimePoint now)
     {
--- a/Libraries/LibPlacement/Coordinator.cpp
+++ b/Libraries/LibPlacement/Coordinator.cpp
@@ -214,8 +214,8 @@
         for (std::size_t i = 0; i < sequences.size(); i += SequencesPerAcknowledgement) {
             auto end = std::min(sequences.size(), i + SequencesPerAcknowledgement);
             Messages::PlacementAcknowledgement content;
-            content.sequences.assign(
-                sequences.begin() + static_cast<std::ptrdiff_t>(i), sequences.begin() + static_cast<std::ptrdiff_t>(end));
+            content.sequences.assign(sequences.begin() + static_cast<std::ptrdiff_t>(i),
+                sequences.begin() + static_cast<std::ptrdiff_t>(end));
             Messages::PlacementMessage message;
             message.__set_acknowledgement(content);
             m_outgoing.push_back({ receiver, std::move(message) });
--- a/Libraries/LibPlacement/CoordinatorMessages.cpp
+++ b/Libraries/LibPlacement/CoordinatorMessages.cpp
@@ -131,33 +131,33 @@
 
 namespace {
 
-/// Gives the upstreams of one message their indexes within the message.
-class ReferenceList {
-public:
-    explicit ReferenceList(std::vector<UpstreamEntry> const& entries)
-        : m_entries(entries)
-    {
-    }
+    /// Gives the upstreams of one message their indexes within the message.
+    class ReferenceList {
+    public:
+        explicit ReferenceList(std::vector<UpstreamEntry> const& entries)
+            : m_entries(entries)
+        {
+        }
 
-    std::int32_t add(UpstreamIndex index)
-    {
-        if (index >= m_entries.size())
-            return -1;
-        auto position = std::ranges::find(m_used, index);
-        if (position == m_used.end()) {
-            m_used.push_back(index);
-            references.push_back(toReference(m_entries[index]));
-            return static_cast<std::int32_t>(m_used.size() - 1);
+        std::int32_t add(UpstreamIndex index)
+        {
+            if (index >= m_entries.size())
+                return -1;
+            auto position = std::ranges::find(m_used, index);
+            if (position == m_used.end()) {
+                m_used.push_back(index);
+                references.push_back(toReference(m_entries[index]));
+                return static_cast<std::int32_t>(m_used.size() - 1);
+            }
+            return static_cast<std::int32_t>(position - m_used.begin());
         }
-        return static_cast<std::int32_t>(position - m_used.begin());
-    }
 
-    std::vector<Messages::UpstreamReference> references;
+        std::vector<Messages::UpstreamReference> references;
 
-private:
-    std::vector<UpstreamEntry> const& m_entries;
-    std::vector<UpstreamIndex> m_used;
-};
+    private:
+        std::vector<UpstreamEntry> const& m_entries;
+        std::vector<UpstreamIndex> m_used;
+    };
 
 }
 
@@ -196,8 +196,7 @@
     }
 }
 
-void Coordinator::sendRecords(
-    Service& service, Core::VmId vm, std::span<DueRecord const> records, Core::TimePoint now)
+void Coordinator::sendRecords(Service& service, Core::VmId vm, std::span<DueRecord const> records, Core::TimePoint now)
 {
     auto id = service.view.state->id();
     for (std::size_t i = 0; i < records.size(); i += RecordsPerMessage) {
--- a/Libraries/LibPlacement/CoordinatorOwnership.cpp
+++ b/Libraries/LibPlacement/CoordinatorOwnership.cpp
@@ -68,8 +68,8 @@
         bool isReachable = peer.isPresent && peer.member.status != MemberStatus::Unreachable;
         return isReachable && std::ranges::find(group.claimReplies, peer.member.vm) == group.claimReplies.end();
     };
-    bool isAnyMissing = std::ranges::any_of(
-        m_peers.peers(), [&](auto const& entry) { return isWaitedFor(entry.second); });
+    bool isAnyMissing
+        = std::ranges::any_of(m_peers.peers(), [&](auto const& entry) { return isWaitedFor(entry.second); });
     if (isAnyMissing && work.now - group.claimStartedAt < AcknowledgementDeadline)
         return;
     bool hasActivePeer = group.activePeer.isValid() && m_peers.isReachable(group.activePeer);
--- a/Libraries/LibPlacement/CoordinatorReceive.cpp
+++ b/Libraries/LibPlacement/CoordinatorReceive.cpp
@@ -117,8 +117,7 @@
     auto& record = group.records[flow];
     record = FlowRecord {};
     record.upstream = upstream;
-    record.bucketInGroup
-        = static_cast<std::uint8_t>(static_cast<std::size_t>(copy.bucket) % BucketGroup::BucketCount);
+    record.bucketInGroup = static_cast<std::uint8_t>(static_cast<std::size_t>(copy.bucket) % BucketGroup::BucketCount);
     record.isConfirmed = true;
     record.lastSeen = RecordTime { work.now };
     record.opened = opened;
--- a/Libraries/LibPlacement/FlowPlacer.cpp
+++ b/Libraries/LibPlacement/FlowPlacer.cpp
@@ -23,10 +23,9 @@
     case UpstreamAvailability::Unknown:
         return drop(Reason::NotSynchronised);
     }
-    return { .verdict = Verdict::Forward,
-        .reason = reason,
-        .upstream = upstream.id,
-        .destination = upstream.destination };
+    return {
+        .verdict = Verdict::Forward, .reason = reason, .upstream = upstream.id, .destination = upstream.destination
+    };
 }
 
 Decision FlowPlacer::decide(PacketLookup const& lookup, BucketGroup& group)
--- a/Libraries/LibPlacement/FlowRecord.h
+++ b/Libraries/LibPlacement/FlowRecord.h
@@ -17,7 +17,7 @@
     RecordTime() = default;
     explicit RecordTime(Core::TimePoint time)
         : m_value(static_cast<std::uint32_t>(
-              std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count() >> 4))
+            std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count() >> 4))
     {
     }
 
--- a/Libraries/LibPlacement/Outbox.h
+++ b/Libraries/LibPlacement/Outbox.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibPlacement/FlowRecord.h>
 #include <LibMessages/Messages.h>
+#include <LibPlacement/FlowRecord.h>
 
 #include <map>
 #include <optional>
--- a/Libraries/LibPlacement/Table.cpp
+++ b/Libraries/LibPlacement/Table.cpp
@@ -50,9 +50,8 @@
         double score;
         std::size_t bucket;
     };
-    auto isBetter = [](Held const& a, Held const& b) {
-        return a.score != b.score ? a.score > b.score : a.bucket < b.bucket;
-    };
+    auto isBetter
+        = [](Held const& a, Held const& b) { return a.score != b.score ? a.score > b.score : a.bucket < b.bucket; };
     double totalWeight = 0;
     for (auto const* upstream : m_upstreams)
         totalWeight += upstream->weight;
--- a/Libraries/LibPlacement/Table.h
+++ b/Libraries/LibPlacement/Table.h
@@ -10,9 +10,9 @@
 
 /// Where new flows of each bucket of a service go; a pure function of the configuration. Immutable, thread-safe.
 ///
-/// Each bucket ranks the upstreams by weighted rendezvous score (Thaler and Ravishankar 1998; weights after Schindelhauer
-/// and Schomaker 2005). Buckets are matched to upstreams by deferred acceptance (Gale and Shapley 1962), with shares
-/// bounded to 1.03 of the weighted mean.
+/// Each bucket ranks the upstreams by weighted rendezvous score (Thaler and Ravishankar 1998; weights after
+/// Schindelhauer and Schomaker 2005). Buckets are matched to upstreams by deferred acceptance (Gale and Shapley 1962),
+/// with shares bounded to 1.03 of the weighted mean.
 class Table {
 public:
     static constexpr std::size_t MinimumBucketCount = 2048;
