Meta: Run the example with peers, readiness and a late fabric

Cause: the example run started balancers without peers, and told the fabric before a balancer stopped, which is easier than reality.

Change: balancers get their peers, the run waits for /readyz, and the fabric learns of a stopping balancer one second late.

--- a/Meta/example_run.py
+++ b/Meta/example_run.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import urllib.request
 from collections import Counter
 from collections.abc import Callable
 
@@ -27,6 +28,8 @@
 # How long the fabric goes on sending to a balancer that has died.
 FABRIC_DETECTION_SECONDS = 1.0
 STOP_TIMEOUT_SECONDS = 30
+READY_TIMEOUT_SECONDS = 30
+READY_POLL_SECONDS = 0.1
 
 LONG_FLOWS = 120
 LONG_INTERVAL_MS = 200
@@ -118,6 +121,8 @@
                 self.start_upstream(name, upstream)
         for index in range(1, len(self.site.balancer_zones) + 1):
             self.start_balancer(index)
+        for index in self.balancers:
+            self.wait_until_ready(index)
         self.write_fabric_file()
         self.fabric = self.spawn(
             "standin-fabric", f"--listen={self.fabric_address()}", f"--balancers_file={self.fabric_file}"
@@ -141,10 +146,29 @@
             f"--vm_name={self.site.name}-{index}",
             f"--zone={self.site.balancer_zones[index - 1]}",
             f"--data_address={self.data_address(index)}",
+            f"--peers={','.join(self.peer_address(other) for other in range(1, len(self.site.balancer_zones) + 1))}",
+            f"--admin_address={self.admin_address(index)}",
             f"--config_dir={self.configuration}",
             "--log_level=warn",
         )
 
+    def wait_until_ready(self, index: int) -> None:
+        """The fabric may send to a balancer that answers its readiness probe."""
+        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                with urllib.request.urlopen(f"http://{self.admin_address(index)}/readyz", timeout=1):
+                    return
+            except OSError:
+                time.sleep(READY_POLL_SECONDS)
+        raise RuntimeError(f"balancer {index} is not ready after {READY_TIMEOUT_SECONDS} s")
+
+    def peer_address(self, index: int) -> str:
+        return f"{self.site.network}.0.{index}:6081"
+
+    def admin_address(self, index: int) -> str:
+        return f"{self.site.network}.0.{index}:9090"
+
     def data_address(self, index: int) -> str:
         return f"{self.site.network}.0.{index}:6080"
 
@@ -304,13 +328,14 @@
 
     def restart_balancer(self, index: int) -> None:
         self.deployment.start_balancer(index)
-        time.sleep(SETTLE_SECONDS)
+        self.deployment.wait_until_ready(index)
         self.deployment.write_fabric_file()
 
     def stop_balancer(self) -> None:
         balancer = self.deployment.balancers.pop(2)
-        self.deployment.write_fabric_file()
         balancer.terminate()
+        time.sleep(FABRIC_DETECTION_SECONDS)
+        self.deployment.write_fabric_file()
         balancer.wait(timeout=STOP_TIMEOUT_SECONDS)
         self.deployment.processes.remove(balancer)
         if balancer.returncode:
