LibDataPath: Accept hops of several keys and remember seen UDP flows

Cause: while the fleet's key is replaced, balancers with different keys dropped each other's peer hops. No balancer told the owner of a bucket that a UDP flow was established, so such a flow could move after the settling time.

Change: HopKeyRing accepts the old and the new key; SeenFlows keeps 65,536 flow hashes a worker (1 MB) and marks packets of flows that were forwarded to the baseline.

--- a/Libraries/LibDataPath/Filters.h
+++ b/Libraries/LibDataPath/Filters.h
@@ -22,11 +22,14 @@
 /// Decides a packet; Placement::Engine::decide() or a fake of it.
 using DecideHook = std::function<Placement::Decision(Placement::PacketInfo const&)>;
 
+/// The same inside the pipeline, which adds what it knows of the flow.
+using DecideFilterHook = std::function<Placement::Decision(Placement::PacketInfo&)>;
+
 /// Gives the endpoint that a refusal of this packet goes to; nothing when it can't be sent now.
 using RefusalRoute = std::function<std::optional<Core::Endpoint>(PacketContext&)>;
 
 /// Unwraps GUE, checks a peer hop and parses the inner packet.
-Filter makeParseFilter(Packet::HopKey const&, Core::VmId self = {});
+Filter makeParseFilter(Packet::HopKeyRing const&, Core::VmId self = {});
 
 /// Finds the service that the packet is for, in the table of the reader's last refresh.
 Filter makeServiceFilter(Published<ServiceTable>::Reader const&);
@@ -38,7 +41,7 @@
 Filter makeAdmissionFilter(Admission&);
 
 /// Asks for a decision; a drop stops here.
-Filter makePlacementFilter(DecideHook);
+Filter makePlacementFilter(DecideFilterHook);
 Filter makePlacementFilter(Placement::Engine&);
 
 /// For a packet that is refused or reset, builds the answer to the caller and sends it by the route. Other packets
--- a/Libraries/LibDataPath/ParseFilter.cpp
+++ b/Libraries/LibDataPath/ParseFilter.cpp
@@ -11,11 +11,11 @@
     return Placement::PacketKind::Data;
 }
 
-static DropReason checkHop(Packet::GuePacket const& packet, Packet::HopKey const& key, Core::VmId self)
+static DropReason checkHop(Packet::GuePacket const& packet, Packet::HopKeyRing const& keys, Core::VmId self)
 {
     if (!packet.hop)
         return DropReason::None;
-    if (!Packet::isAuthentic(packet, key))
+    if (!keys.accepts(packet))
         return DropReason::UnauthenticHop;
     auto isPossible = packet.hop->hopCount >= 1 && packet.hop->hopCount <= MaxHopCount;
     if (!isPossible || packet.hop->sender == self)
@@ -23,15 +23,15 @@
     return DropReason::None;
 }
 
-Filter makeParseFilter(Packet::HopKey const& key, Core::VmId self)
+Filter makeParseFilter(Packet::HopKeyRing const& keys, Core::VmId self)
 {
-    return [key, self](PacketContext& context) {
+    return [keys, self](PacketContext& context) {
         if (context.isTruncated)
             return stop(context, DropReason::Oversized);
         auto encapsulated = Packet::parseGue(context.datagram);
         if (!encapsulated)
             return stop(context, DropReason::BadEncapsulation);
-        auto hopFault = checkHop(*encapsulated, key, self);
+        auto hopFault = checkHop(*encapsulated, keys, self);
         if (hopFault != DropReason::None)
             return stop(context, hopFault);
         auto packet = Packet::parse(encapsulated->inner, context.parseError);
--- a/Libraries/LibDataPath/Pipeline.cpp
+++ b/Libraries/LibDataPath/Pipeline.cpp
@@ -17,7 +17,8 @@
 private:
     WorkerChains makeChains();
     WorkerHooks makeHooks();
-    Placement::Decision decide(Placement::PacketInfo const&);
+    Placement::Decision decide(Placement::PacketInfo&);
+    Placement::Decision decideTimed(Placement::PacketInfo const&);
     void trace(
         Placement::PacketInfo const&, Core::Hash128 const&, Placement::Decision const&, std::chrono::nanoseconds);
     std::optional<Core::Endpoint> peerAddress(Core::VmId) const;
@@ -29,6 +30,8 @@
     RefusalRouter m_refusals;
     PacketCounters m_counters;
     Telemetry::Distribution& m_decisionTime;
+    SeenFlows m_seenFlows;
+    Core::TimePoint m_batchStart;
     std::uint32_t m_decisions { 0 };
     std::unique_ptr<Worker> m_worker;
 };
@@ -50,16 +53,16 @@
 {
     auto const& options = m_pipeline.m_options;
     std::vector<Filter> classify {
-        makeParseFilter(options.hopKey, options.self),
+        makeParseFilter(options.hopKeys, options.self),
         makeServiceFilter(m_services),
     };
     auto route = [this](PacketContext& context) { return m_refusals.route(context); };
     auto peers = [this](Core::VmId vm) { return peerAddress(vm); };
     std::vector<Filter> handle {
         makeAdmissionFilter(m_admission),
-        makePlacementFilter([this](Placement::PacketInfo const& info) { return decide(info); }),
+        makePlacementFilter([this](Placement::PacketInfo& info) { return decide(info); }),
         makeRefusalFilter(route),
-        makeEncapsulationFilter(options.hopKey, options.self, peers),
+        makeEncapsulationFilter(options.hopKeys.sealing, options.self, peers),
     };
     return { std::make_shared<FilterChain const>(std::move(classify)),
         std::make_shared<FilterChain const>(std::move(handle)) };
@@ -72,7 +75,8 @@
         auto const& isRefusingOpens = m_pipeline.m_hooks.isRefusingOpens;
         m_services.refresh();
         m_peers.refresh();
-        m_refusals.startBatch(m_pipeline.m_clock.now());
+        m_batchStart = m_pipeline.m_clock.now();
+        m_refusals.startBatch(m_batchStart);
         m_admission.startBatch(received, BatchSize, isRefusingOpens && isRefusingOpens());
         m_counters.countBatch(received);
     };
@@ -84,7 +88,20 @@
     return hooks;
 }
 
-Placement::Decision Pipeline::Lane::decide(Placement::PacketInfo const& info)
+Placement::Decision Pipeline::Lane::decide(Placement::PacketInfo& info)
+{
+    if (info.flow.protocol != Core::Protocol::Udp || info.hopCount > 0)
+        return decideTimed(info);
+    auto flowHash = info.flow.hash(m_pipeline.m_options.flowHashKey);
+    info.isKnownToSender = m_seenFlows.contains(flowHash, m_batchStart);
+    auto decision = decideTimed(info);
+    // Only a packet that was sent to the baseline shows that the flow is there; a hopped one may have been dropped.
+    if (decision.verdict == Placement::Verdict::Forward && decision.reason == Placement::Reason::Steady)
+        m_seenFlows.note(flowHash, m_batchStart);
+    return decision;
+}
+
+Placement::Decision Pipeline::Lane::decideTimed(Placement::PacketInfo const& info)
 {
     auto const& decideHook = m_pipeline.m_hooks.decide;
     auto* tracer = m_pipeline.m_tracer;
--- a/Libraries/LibDataPath/Pipeline.h
+++ b/Libraries/LibDataPath/Pipeline.h
@@ -2,6 +2,7 @@
 
 #include <LibDataPath/Filters.h>
 #include <LibDataPath/RefusalRouter.h>
+#include <LibDataPath/SeenFlows.h>
 #include <LibDataPath/Worker.h>
 #include <LibTelemetry/Telemetry.h>
 
@@ -17,7 +18,7 @@
     Core::Endpoint dataAddress;
     std::size_t workers { 1 };
     Core::VmId self;
-    Packet::HopKey hopKey {};
+    Packet::HopKeyRing hopKeys;
     /// Key of the flow hash by which traces are sampled; the same on all balancers.
     std::uint64_t flowHashKey { 0 };
     /// Where refusals go; without it, to where the packet came from.
--- a/Libraries/LibDataPath/PlacementFilter.cpp
+++ b/Libraries/LibDataPath/PlacementFilter.cpp
@@ -2,7 +2,7 @@
 
 namespace Chicorytally::DataPath {
 
-Filter makePlacementFilter(DecideHook decide)
+Filter makePlacementFilter(DecideFilterHook decide)
 {
     return [decide = std::move(decide)](PacketContext& context) {
         context.decision = decide(context.info);
--- /dev/null
+++ b/Libraries/LibDataPath/SeenFlows.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace Chicorytally::DataPath {
+
+/// Remembers which UDP flows one worker has forwarded, in a fixed amount of memory. UDP has no opening packet, so this
+/// tells the owner of a bucket that a flow it doesn't know is established. A forgotten flow counts as unknown; a flow
+/// is taken for another one with a probability of 2^-64. Not thread-safe.
+class SeenFlows {
+public:
+    /// Equal to the default idle timeout of a service.
+    static constexpr std::chrono::minutes Lifetime { 15 };
+
+    SeenFlows()
+        : m_entries(EntryCount)
+    {
+    }
+
+    void note(Core::Hash128 const& flow, Core::TimePoint now) { entryOf(flow) = { flow.high, now }; }
+
+    bool contains(Core::Hash128 const& flow, Core::TimePoint now) const
+    {
+        auto const& entry = m_entries[flow.low % EntryCount];
+        return entry.fingerprint == flow.high && now - entry.lastSeen < Lifetime;
+    }
+
+private:
+    // 1 MB a worker; a new flow overwrites the one in its place.
+    static constexpr std::size_t EntryCount = 1 << 16;
+
+    struct Entry {
+        std::uint64_t fingerprint { 0 };
+        Core::TimePoint lastSeen;
+    };
+
+    Entry& entryOf(Core::Hash128 const& flow) { return m_entries[flow.low % EntryCount]; }
+
+    std::vector<Entry> m_entries;
+};
+
+}
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -60,7 +60,13 @@
         .randomSeed = incarnation.value() };
 }
 
-static Packet::HopKey hopKey(Settings const& settings) { return settings.keys.sealing.derive("peer hop"); }
+static Packet::HopKeyRing hopKeys(Settings const& settings)
+{
+    Packet::HopKeyRing ring { .sealing = settings.keys.sealing.derive("peer hop") };
+    for (auto const& key : settings.keys.accepted)
+        ring.accepted.push_back(key.derive("peer hop"));
+    return ring;
+}
 
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
@@ -130,7 +136,7 @@
     options.dataAddress = settings.dataAddress;
     options.workers = settings.workers;
     options.self = Model::vmId(settings.vmName);
-    options.hopKey = hopKey(settings);
+    options.hopKeys = hopKeys(settings);
     options.flowHashKey = settings.flowKey;
     return options;
 }
--- a/Tests/LibDataPath/Harness.h
+++ b/Tests/LibDataPath/Harness.h
@@ -64,7 +64,7 @@
     {
         options.dataAddress = { *Core::IpAddress::parse("127.0.0.1"), 0 };
         options.self = Core::VmId { 1 };
-        options.hopKey = { 7 };
+        options.hopKeys.sealing = { 7 };
         DataPath::PipelineHooks hooks;
         hooks.decide = [this](Placement::PacketInfo const& info) {
             decided.push_back(info);
--- /dev/null
+++ b/Tests/LibDataPath/TestSeenFlows.cpp
@@ -0,0 +1,55 @@
+#include "Harness.h"
+
+namespace Chicorytally {
+
+BOOST_AUTO_TEST_SUITE(TestSeenFlows)
+
+static std::vector<std::uint8_t> udpPacket(std::uint16_t port)
+{
+    return callerPacket(port, 0, Register, Core::Protocol::Udp);
+}
+
+static bool isKnownOnNextPacket(Harness& harness, std::uint16_t port)
+{
+    harness.sendFromFabric(udpPacket(port));
+    BOOST_REQUIRE_EQUAL(harness.run(), 1u);
+    return harness.decided.back().isKnownToSender;
+}
+
+BOOST_AUTO_TEST_CASE(ForwardedUdpFlowIsKnownUntilItIsIdle)
+{
+    // Guards against an established UDP flow that is moved because the owner of its bucket doesn't know it.
+    Harness harness;
+    BOOST_TEST(!isKnownOnNextPacket(harness, 4000));
+    BOOST_TEST(isKnownOnNextPacket(harness, 4000));
+    BOOST_TEST(!isKnownOnNextPacket(harness, 4001));
+    harness.clock.advance(DataPath::SeenFlows::Lifetime);
+    BOOST_TEST(!isKnownOnNextPacket(harness, 4000));
+}
+
+BOOST_AUTO_TEST_CASE(HandedOverPacketMakesNoFlowKnown)
+{
+    // Guards against a new flow that is sent to a draining upstream because its first packet was dropped at the owner.
+    Harness harness;
+    harness.decision.verdict = Placement::Verdict::ForwardToPeer;
+    harness.decision.peer = Harness::PeerVm;
+    BOOST_TEST(!isKnownOnNextPacket(harness, 4000));
+    BOOST_TEST(!isKnownOnNextPacket(harness, 4000));
+}
+
+BOOST_AUTO_TEST_CASE(HopsOfEveryAcceptedKeyPass)
+{
+    // Guards against packets that are lost between balancers while the key of the fleet is replaced.
+    DataPath::PipelineOptions options;
+    options.hopKeys.accepted = { { 8 } };
+    Harness harness { options };
+    Packet::PeerHop hop { .sender = Harness::PeerVm, .hopCount = 1 };
+    for (std::uint8_t key : { 7, 8, 9 })
+        harness.sendFromPeer(callerPacket(4000, Packet::Acknowledgement), hop, { key });
+    harness.run();
+    BOOST_TEST(harness.decided.size() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
