--- a/Benchmarks/HarnessLoad/Fleet.cpp
+++ b/Benchmarks/HarnessLoad/Fleet.cpp
@@ -72,13 +72,21 @@
         auto downFor = other.endedAt ? now() - *other.endedAt : Core::TimePoint::duration {};
         if (!canReach(index, i) || downFor >= SuspicionTime)
             status = Load::MemberStatus::Unreachable;
-        if (other.endedAt && downFor >= ConfirmationTime)
+        if (other.endedAt && downFor >= ConfirmationTime && !m_isPlatformDown)
             status = Load::MemberStatus::Gone;
         members.push_back({ other.vm, status, other.incarnation });
     }
     m_balancers[index].controller->applyMembers(members);
 }
 
+bool Fleet::isOwner(std::size_t index) const
+{
+    auto const& balancer = m_balancers[index];
+    if (!balancer.isAlive)
+        return now() - *balancer.endedAt < SuspicionTime;
+    return balancer.controller->isReady();
+}
+
 std::optional<std::size_t> Fleet::runningOn(Core::VmId vm) const
 {
     for (std::size_t i = m_balancers.size(); i-- > 0;) {
@@ -129,6 +137,11 @@
 void Fleet::step()
 {
     m_clock.advance(Tick);
+    tickAll();
+}
+
+void Fleet::tickAll()
+{
     deliver();
     for (std::size_t i = 0; i < m_balancers.size(); ++i) {
         if (!isRunning(i))
--- a/Benchmarks/HarnessLoad/Fleet.h
+++ b/Benchmarks/HarnessLoad/Fleet.h
@@ -46,14 +46,22 @@
     std::size_t size() const { return m_balancers.size(); }
     bool isRunning(std::size_t index) const { return m_balancers[index].isAlive && !m_balancers[index].isPaused; }
     bool isAlive(std::size_t index) const { return m_balancers[index].isAlive; }
+    /// Owns buckets in the eyes of the others: ready, or lost without their having noticed.
+    bool isOwner(std::size_t index) const;
     Load::LoadController& at(std::size_t index) { return *m_balancers[index].controller; }
     Core::VmId vm(std::size_t index) const { return m_balancers[index].vm; }
 
     /// Answers a probe; without an answer the probe fails.
     std::function<std::optional<Load::UpstreamReport>(std::size_t balancer, Core::UpstreamId)> probe;
 
+    /// Without the platform, nobody's end is confirmed.
+    void setPlatformDown(bool isDown) { m_isPlatformDown = isDown; }
+
     /// Lets a tick's time pass: delivers messages, then ticks and probes.
     void step();
+    /// The two halves of a step, for callers with events between the ticks.
+    void advanceTo(Core::TimePoint time) { m_clock.set(time); }
+    void tickAll();
     void run(std::chrono::milliseconds);
 
     std::uint64_t sentBytes() const { return m_sentBytes; }
@@ -88,6 +96,7 @@
     std::shared_ptr<Model::Configuration const> m_configuration;
     std::vector<Balancer> m_balancers;
     std::vector<std::size_t> m_partition;
+    bool m_isPlatformDown { false };
     std::multimap<Core::TimePoint, Delivery> m_messages;
     std::uint64_t m_sentBytes { 0 };
 };
--- a/Libraries/LibLoad/LoadState.cpp
+++ b/Libraries/LibLoad/LoadState.cpp
@@ -99,8 +99,10 @@
 
 void LoadController::State::flowOpened(Core::ServiceId serviceId, Core::UpstreamId id)
 {
-    if (auto position = m_services.find(serviceId); position != m_services.end())
+    if (auto position = m_services.find(serviceId); position != m_services.end()) {
         position->second->retries.opened();
+        position->second->opens.count(now());
+    }
     auto* upstream = find(id);
     if (!upstream)
         return;
--- a/Libraries/LibLoad/LoadStateChoice.cpp
+++ b/Libraries/LibLoad/LoadStateChoice.cpp
@@ -142,7 +142,6 @@
     if (position == m_services.end())
         return { .index = 0 };
     auto& service = *position->second;
-    service.opens.count(now());
     updateMeans(service);
 
     auto view = [&](std::size_t index, bool isSpill) {
--- a/Libraries/LibLoad/OpenRate.h
+++ b/Libraries/LibLoad/OpenRate.h
@@ -8,10 +8,12 @@
 
 namespace Chicorytally::Load {
 
-/// Exponentially weighted rate of events, corrected for the time before the first one. Not thread-safe.
+/// Exponentially weighted rate of admitted opens, corrected for the time before the first one. Refused opens don't
+/// count: callers repeat them, and allowances in proportion to repeats would grow with the overload. Not thread-safe.
 class OpenRate {
 public:
-    static constexpr std::chrono::seconds TimeConstant { 20 };
+    /// Long against a burst of reconnecting callers, so that the burst hardly raises the allowances.
+    static constexpr std::chrono::seconds TimeConstant { 60 };
     /// Before this time the rate says nothing.
     static constexpr std::chrono::seconds SettlingTime { 3 };
 
