LibLoad: Let reconnecting callers fill a share within the slow start, and ignore report noise

Busy slots at one instant vary so widely that 5% of the opens left their target; a smaller gain and a deadband remain. Allowances of cold and warm upstreams count what fills a share within the slow start, and what a warm upstream took in the last minute, so that a returning zone causes no refusals.

--- a/Benchmarks/HarnessLoad/FakeUpstream.h
+++ b/Benchmarks/HarnessLoad/FakeUpstream.h
@@ -19,11 +19,12 @@
 };
 
 /// An upstream with slots, a queue and a cold start. A cold one works at a tenth of its speed, and at all of it after
-/// the warm-up time.
+/// the warm-up time. It fails when more requests wait than a cold one can hold.
 class FakeUpstream {
 public:
     static constexpr Seconds WarmUpTime { 20 };
     static constexpr Seconds ReportLag { 1 };
+    static constexpr std::size_t ColdQueue = 50;
     static constexpr Seconds MeanServiceTime { 0.05 };
 
     FakeUpstream(Model::Upstream const& model, ReportKind kind)
@@ -41,6 +42,7 @@
     void restart(Seconds now);
     bool isCold(Seconds now) const { return now - m_startedAt < WarmUpTime; }
     double speed(Seconds now) const;
+    bool isFailing(Seconds now) const { return isCold(now) && m_waiting.size() > ColdQueue; }
     std::uint32_t generation() const { return m_generation; }
 
     struct Request {
--- a/Benchmarks/HarnessLoad/Traffic.cpp
+++ b/Benchmarks/HarnessLoad/Traffic.cpp
@@ -401,10 +401,15 @@
     scheduleRequest(serviceIndex);
     if (service.flows.empty())
         return;
-    auto const& flow = m_flows[service.flows[m_random() % service.flows.size()]];
+    auto flow = m_flows[service.flows[m_random() % service.flows.size()]];
     auto& upstream = service.upstreams[flow.upstream];
     auto work = std::exponential_distribution<> { 1 / FakeUpstream::MeanServiceTime.count() }(m_random);
     auto end = upstream.truth.arrive({ m_now, Seconds { work } }, m_now);
+    if (upstream.truth.isFailing(m_now)) {
+        ++m_figures.coldFailures;
+        restart(serviceIndex, flow.upstream);
+        return;
+    }
     if (!end)
         return;
     schedule({ .time = *end,
--- a/Benchmarks/HarnessLoad/Traffic.h
+++ b/Benchmarks/HarnessLoad/Traffic.h
@@ -31,6 +31,8 @@
     /// Opens that went to the bucket's target.
     std::uint64_t onTarget { 0 };
     std::uint64_t admitted { 0 };
+    /// Cold upstreams that failed under their load and started once more.
+    std::uint64_t coldFailures { 0 };
     /// Part that was refused or late, for each second.
     std::vector<double> badShares;
     /// Greatest ratio of one upstream to its service's mean, over windows of 60 s.
--- a/Benchmarks/Load/Load.cpp
+++ b/Benchmarks/Load/Load.cpp
@@ -114,9 +114,13 @@
 
     void zoneLeavesAndReturns(PolicyKind kind)
     {
-        auto upstreams = static_cast<double>(m_site.services.front().upstreams);
-        auto leaving = std::ceil(upstreams / static_cast<double>(m_site.zones));
-        auto run = traffic(kind, SufficientLoad * (upstreams - leaving) / upstreams);
+        double remaining = 1;
+        for (auto const& service : m_site.services) {
+            auto upstreams = static_cast<double>(service.upstreams);
+            auto leaving = std::ceil(upstreams / static_cast<double>(m_site.zones));
+            remaining = std::min(remaining, (upstreams - leaving) / upstreams);
+        }
+        auto run = traffic(kind, SufficientLoad * remaining);
         run->run(Seconds { 120 });
         auto steady = run->takeFigures();
         run->setZone(0, Model::ZoneState::Out);
@@ -143,7 +147,9 @@
             run->takeOpens(m_largest, i);
         for (std::size_t i = 0; i < cold; ++i)
             run->restart(m_largest, i);
-        auto fairRate = run->opensPerSecond(m_largest) / static_cast<double>(count);
+        // The allowance: its part of the opens, or what fills its limit within the slow start.
+        auto limit = m_site.services.front().maxConnections / 30.0;
+        auto fullRate = std::max(limit, run->opensPerSecond(m_largest) / static_cast<double>(count));
         double greatest = 0;
         // The probes need a moment to see the restart.
         run->run(Seconds { 2 });
@@ -155,12 +161,14 @@
             auto fraction = 0.1 + 0.9 * (second + Step) / 30.0;
             for (std::size_t i = 0; i < cold; ++i) {
                 auto opens = static_cast<double>(run->takeOpens(m_largest, i));
-                greatest = std::max(greatest, opens / (Step * fairRate * fraction));
+                greatest = std::max(greatest, opens / (Step * fullRate * fraction));
             }
         }
         addAtMost("restart.cold_opens_over_allowance", kind, greatest, 1.5, "ratio");
         run->run(Seconds { 90 });
-        addQuality("restart", kind, run->takeFigures());
+        auto figures = run->takeFigures();
+        addAtMost("restart.cold_failures", kind, static_cast<double>(figures.coldFailures), 0, "restarts");
+        addQuality("restart", kind, figures);
         finish(*run);
     }
 
--- a/Libraries/LibLoad/LoadEstimate.cpp
+++ b/Libraries/LibLoad/LoadEstimate.cpp
@@ -42,10 +42,10 @@
         return true;
     value = std::min(*value, GreatestUtilisation);
     auto age = std::chrono::duration<double>(report.age) / std::chrono::duration<double>(Lifetime);
-    auto step = GreatestStep * (1 - age);
     // The first estimate starts at the service's mean: a single report must not set it.
     auto known = utilisation(now).value_or(observation.serviceMean.value_or(*value));
-    m_utilisation = known + std::clamp(*value - known, -step, step);
+    auto step = std::clamp(Gain * (*value - known), -GreatestStep, GreatestStep);
+    m_utilisation = known + (1 - age) * step;
     m_reportedAt = measuredAt;
     return true;
 }
@@ -70,7 +70,9 @@
     auto known = utilisation(now);
     if (!known || !serviceMean || *serviceMean <= 0)
         return 1;
-    auto bounded = std::clamp(*known / *serviceMean, LeastFactor, GreatestFactor);
+    auto difference = *known / *serviceMean - 1;
+    auto beyond = difference - std::clamp(difference, -Deadband, Deadband);
+    auto bounded = std::clamp(1 + beyond, LeastFactor, GreatestFactor);
     return 1 + influence(now) * (bounded - 1);
 }
 
--- a/Libraries/LibLoad/LoadState.cpp
+++ b/Libraries/LibLoad/LoadState.cpp
@@ -107,6 +107,7 @@
     if (!upstream)
         return;
     upstream->flows.add();
+    upstream->opens.count(now());
     upstream->signs.opened(now());
 }
 
--- a/Libraries/LibLoad/LoadState.h
+++ b/Libraries/LibLoad/LoadState.h
@@ -62,7 +62,11 @@
     Placement::Reason refusalReason(ServiceState&, Placement::SelectionRequest const&);
     void updateMeans(ServiceState&) const;
     double relativeLoad(ServiceState const&, UpstreamState const&) const;
+    /// Opens per second that are this VM's and the upstream's part; 0 while the rate of the service isn't known.
     double fairRate(ServiceState const&, UpstreamState const&) const;
+    /// The greater of that and the rate that fills the share within the slow start, for callers that come back
+    /// together.
+    double fullRate(ServiceState const&, UpstreamState const&) const;
     bool isUsable(ServiceState const&, UpstreamState const&) const;
     std::uint32_t share(UpstreamState&) const;
     std::uint32_t shareNow(UpstreamState const&, bool& isSettled) const;
--- a/Libraries/LibLoad/LoadStateChoice.cpp
+++ b/Libraries/LibLoad/LoadStateChoice.cpp
@@ -66,6 +66,13 @@
     return *rate * upstream.upstream.weight / service.usableWeight;
 }
 
+double LoadController::State::fullRate(ServiceState const& service, UpstreamState const& upstream) const
+{
+    std::chrono::duration<double> ramp = std::max(service.slowStart, std::chrono::seconds { 1 });
+    double filling = m_openers.ownShare(upstream.upstream.id, upstream.upstream.maxConnections) / ramp.count();
+    return std::max(fairRate(service, upstream), filling);
+}
+
 void LoadController::State::updateMeans(ServiceState& service) const
 {
     double flows = 0;
@@ -100,7 +107,7 @@
     view.standing = Standing::Full;
     if (upstream.flows.open() >= share(upstream))
         return view;
-    auto rate = fairRate(service, upstream);
+    auto rate = fullRate(service, upstream);
     if (upstream.slowStart.isRunning(service.slowStart, now())) {
         bool hasRoom = upstream.flows.openSinceStart() < rampShare(service, upstream)
             && upstream.slowStart.canAdmit(rate, service.slowStart, now());
@@ -108,8 +115,9 @@
         return view;
     }
     view.standing = Standing::Free;
+    SpillAllowance::Rates rates { .ownRate = rate, .recentRate = upstream.opens.perSecond(now()).value_or(0) };
     bool hasRate = service.opens.perSecond(now()).has_value();
-    if (isSpill && hasRate && !upstream.spill.has(rate, upstream.load.utilisation(now()), now()))
+    if (isSpill && hasRate && !upstream.spill.has(rates, upstream.load.utilisation(now()), now()))
         view.standing = Standing::SpillFull;
     return view;
 }
@@ -154,7 +162,7 @@
 
     auto* chosen = find(request.candidates[*choice.index]->id);
     if (chosen) {
-        chosen->slowStart.admit(fairRate(service, *chosen), service.slowStart, now());
+        chosen->slowStart.admit(fullRate(service, *chosen), service.slowStart, now());
         bool isSpill = choice.targetStanding == Standing::Unusable || choice.targetStanding == Standing::StartingFull;
         if (isSpill)
             chosen->spill.take();
--- a/Libraries/LibLoad/SlowStart.cpp
+++ b/Libraries/LibLoad/SlowStart.cpp
@@ -77,18 +77,18 @@
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(fraction * limit));
 }
 
-bool SlowStart::canAdmit(double fairRate, std::chrono::seconds duration, Core::TimePoint now)
+bool SlowStart::canAdmit(double fullRate, std::chrono::seconds duration, Core::TimePoint now)
 {
     if (!isRateLimited() || !isRunning(duration, now))
         return true;
-    auto rate = std::max(LeastRate, fraction(duration, now) * fairRate);
+    auto rate = std::max(LeastRate, fraction(duration, now) * fullRate);
     m_opens.refill(rate, std::max(1.0, rate * BurstSeconds), now);
     return m_opens.has();
 }
 
-bool SlowStart::admit(double fairRate, std::chrono::seconds duration, Core::TimePoint now)
+bool SlowStart::admit(double fullRate, std::chrono::seconds duration, Core::TimePoint now)
 {
-    if (!canAdmit(fairRate, duration, now))
+    if (!canAdmit(fullRate, duration, now))
         return false;
     if (isRateLimited() && isRunning(duration, now))
         m_opens.take();
--- a/Libraries/LibLoad/SlowStart.h
+++ b/Libraries/LibLoad/SlowStart.h
@@ -50,9 +50,9 @@
     /// The limit of connections during the ramp, at least 1.
     static std::uint32_t limitAt(double fraction, std::uint32_t limit);
 
-    /// Admits one open, where `fairRate` is what this balancer would open per second on the warm upstream.
-    bool admit(double fairRate, std::chrono::seconds duration, Core::TimePoint now);
-    bool canAdmit(double fairRate, std::chrono::seconds duration, Core::TimePoint now);
+    /// Admits one open, where `fullRate` is what this balancer may open per second on the warm upstream.
+    bool admit(double fullRate, std::chrono::seconds duration, Core::TimePoint now);
+    bool canAdmit(double fullRate, std::chrono::seconds duration, Core::TimePoint now);
 
 private:
     bool isRateLimited() const { return m_cause != StartCause::FirstSight; }
--- a/Libraries/LibLoad/SpillAllowance.h
+++ b/Libraries/LibLoad/SpillAllowance.h
@@ -7,29 +7,36 @@
 
 namespace Chicorytally::Load {
 
-/// How much one warm upstream takes of what dead or cold upstreams can't: at most half of its own part of the opens,
-/// less when it is busy, nothing when it is full. Without it, the simultaneous restart of many upstreams would be
-/// followed by the overload of the others. Not thread-safe.
+/// How much one warm upstream takes of what dead or cold upstreams can't: half of its own part of the opens, or what it
+/// has taken in the last minute; less when it is busy, nothing when it is full. Without it, the simultaneous restart of
+/// many upstreams would be followed by the overload of the others. Not thread-safe.
 class SpillAllowance {
 public:
-    static constexpr double GreatestPart = 0.5;
+    static constexpr double Part = 0.5;
     /// Utilisation up to which the greatest part is taken, and the one from which nothing is.
     static constexpr double CalmUtilisation = 0.8;
     static constexpr double FullUtilisation = 0.95;
     /// Taken for the utilisation when no report tells it.
     static constexpr double UnknownUtilisation = 0.85;
 
-    static double partAt(double utilisation)
+    /// `ownRate` is the upstream's part of the opens per second, `recentRate` what it got in the last minute.
+    struct Rates {
+        double ownRate { 0 };
+        double recentRate { 0 };
+    };
+
+    static double roomAt(double utilisation)
     {
         auto room = (FullUtilisation - utilisation) / (FullUtilisation - CalmUtilisation);
-        return GreatestPart * std::clamp(room, 0.0, 1.0);
+        return std::clamp(room, 0.0, 1.0);
     }
 
-    bool has(double fairRate, std::optional<double> utilisation, Core::TimePoint now)
+    bool has(Rates const& rates, std::optional<double> utilisation, Core::TimePoint now)
     {
         constexpr double LeastBurst = 5;
         constexpr double BurstSeconds = 2;
-        auto rate = fairRate * partAt(utilisation.value_or(UnknownUtilisation));
+        auto part = std::max(Part * rates.ownRate, rates.recentRate - rates.ownRate);
+        auto rate = part * roomAt(utilisation.value_or(UnknownUtilisation));
         m_opens.refill(rate, std::max(LeastBurst, rate * BurstSeconds), now);
         return m_opens.has();
     }
--- a/Libraries/LibLoad/UpstreamState.h
+++ b/Libraries/LibLoad/UpstreamState.h
@@ -4,6 +4,7 @@
 #include <LibLoad/FlowCount.h>
 #include <LibLoad/Health.h>
 #include <LibLoad/LoadEstimate.h>
+#include <LibLoad/OpenRate.h>
 #include <LibLoad/SlowStart.h>
 #include <LibLoad/SpillAllowance.h>
 #include <LibModel/Model.h>
@@ -43,6 +44,7 @@
     DrainSchedule drain;
     LoadEstimate load;
     SpillAllowance spill;
+    OpenRate opens;
     std::string lastReason { "first sight" };
 
     /// Last time at which a report showed more connections than the living openers count.
--- a/Tests/LibLoad/TestFairChoice.cpp
+++ b/Tests/LibLoad/TestFairChoice.cpp
@@ -91,8 +91,8 @@
 BOOST_AUTO_TEST_CASE(OneReportMovesAnEstimateByABoundedStep)
 {
     // Guards against a single wrong report that moves the load.
-    BOOST_TEST(estimateAfter(1, 4, 0.5) == 0.6, boost::test_tools::tolerance(1e-9));
-    BOOST_TEST(estimateAfter(20, 4, 0.5) == 1.0, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(estimateAfter(1, 4, 0.5) == 0.525, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(estimateAfter(100, 4, 0.5) == 1.0, boost::test_tools::tolerance(0.01));
 }
 
 BOOST_AUTO_TEST_CASE(ZeroAgainstOwnObservationIsNotBelieved)
@@ -118,7 +118,8 @@
     BOOST_TEST(
         estimate.factor(0.2, clock.now()) == Load::LoadEstimate::GreatestFactor, boost::test_tools::tolerance(1e-9));
     clock.advance(5s);
-    BOOST_TEST(estimate.factor(0.2, clock.now()) == 1.1, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(estimate.factor(0.2, clock.now()) == (1 + Load::LoadEstimate::GreatestFactor) / 2,
+        boost::test_tools::tolerance(1e-9));
     clock.advance(6s);
     BOOST_TEST(estimate.factor(0.2, clock.now()) == 1.0, boost::test_tools::tolerance(1e-9));
     BOOST_TEST(!estimate.record({ .busySlots = 0, .age = 60s }, 4, 2000, {}, clock.now()));
