LibPlacement: Resolve two owners of a group after a partition

Two members that both act as owner outbid each other's epochs for ever, and one counted the other's acknowledgement although it decided by its own records.

--- a/Libraries/LibPlacement/BucketGroup.h
+++ b/Libraries/LibPlacement/BucketGroup.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <bitset>
 #include <vector>
 
 namespace Chicorytally::Placement {
@@ -65,6 +66,11 @@
     std::vector<FlowHash> pendingCopies;
     std::vector<Removal> pendingRemovals;
 
+    /// Active: another member that acts as owner too, as after a partition, and the buckets it was answered for.
+    Core::VmId splitWith;
+    std::bitset<BucketCount> splitBuckets;
+    std::optional<Core::TimePoint> splitAt;
+
     /// Claiming: acted as owner before a pause of the process.
     bool isResuming { false };
     Core::TimePoint claimStartedAt;
--- a/Libraries/LibPlacement/Coordinator.cpp
+++ b/Libraries/LibPlacement/Coordinator.cpp
@@ -59,7 +59,7 @@
         m_outbox.forget(vm);
     }
     for (auto const& [vm, peer] : m_peers.peers()) {
-        if (!peer.isPresent)
+        if (!m_peers.isReachable(vm))
             m_outbox.forget(vm);
     }
     reconcileAll(now);
@@ -211,7 +211,11 @@
         publishSnapshot();
     requestStates(now);
 
-    m_outbox.resend(now, m_outgoing);
+    auto givenUp = m_outbox.resend(now, m_outgoing);
+    for (auto vm : givenUp)
+        m_notices.reset(vm);
+    if (!givenUp.empty())
+        forEachGroup(now, [](Work const& work) { work.group.needsWork = true; });
     for (auto const& [receiver, sequences] : m_acknowledgements) {
         for (std::size_t i = 0; i < sequences.size(); i += SequencesPerAcknowledgement) {
             auto end = std::min(sequences.size(), i + SequencesPerAcknowledgement);
--- a/Libraries/LibPlacement/Coordinator.h
+++ b/Libraries/LibPlacement/Coordinator.h
@@ -73,6 +73,15 @@
         bool isBaselineClosed;
     };
 
+    enum class EntryResult : std::uint8_t {
+        /// To be acknowledged.
+        Applied,
+        /// This balancer has a newer state, which the sender must learn.
+        Outdated,
+        /// Neither acknowledged nor answered; the sender repeats it.
+        Ignored,
+    };
+
     /// Orders to one receiver go into one message.
     struct OrderKey {
         Core::ServiceId service;
@@ -110,9 +119,12 @@
     void propose(Work const&, std::size_t inGroup, UpstreamIndex baseline, bool isTracked)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
     void applyProposal(Work const&, std::size_t inGroup) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
-    /// False when this balancer has a newer state.
-    bool applyEntry(Work const&, std::size_t inGroup, DueEntry const&, bool isFromOwner)
+    EntryResult applyEntry(Work const&, std::size_t inGroup, DueEntry const&, Core::VmId sender, bool isCorrection)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
+    /// Two members act as owner of the group, as after a partition.
+    EntryResult applyEntryToOwned(Work const&, std::size_t inGroup, DueEntry const&, Core::VmId sender,
+        bool isCorrection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
+    void merge(Work const&, std::size_t inGroup, DueEntry const&, Epoch) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
 
     // Messages.
     void work(Work const&, DueMessages&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_lock);
--- a/Libraries/LibPlacement/CoordinatorBuckets.cpp
+++ b/Libraries/LibPlacement/CoordinatorBuckets.cpp
@@ -61,7 +61,9 @@
     }
     bool refuses = work.service.view.service->partition == Model::PartitionPolicy::Refuse;
     bool isDoubtful = isAnyMissing || m_peers.isAnyUnreachable();
-    if (isWaiting)
+    bool isSplit = work.group.splitAt
+        && (work.group.owner != m_options.self || work.now - *work.group.splitAt < AcknowledgementDeadline);
+    if (isWaiting || isSplit)
         bucket.permission = OffBaselinePermission::Waiting;
     else if (isDoubtful && refuses)
         bucket.permission = OffBaselinePermission::Refused;
@@ -191,35 +193,71 @@
     group.needsWork = true;
 }
 
-bool Coordinator::applyEntry(Work const& work, std::size_t inGroup, DueEntry const& entry, bool isFromOwner)
+void Coordinator::merge(Work const& work, std::size_t inGroup, DueEntry const& entry, Epoch epoch)
+{
+    auto& bucket = work.group.buckets[inGroup];
+    bool isDifferent = entry.isTracked || entry.baseline != bucket.baseline;
+    if (bucket.isTracked || isDifferent)
+        bucket.track(epoch, work.now);
+    else
+        bucket.epoch = epoch;
+    work.publish(inGroup);
+    work.group.needsWork = true;
+}
+
+Coordinator::EntryResult Coordinator::applyEntryToOwned(
+    Work const& work, std::size_t inGroup, DueEntry const& entry, Core::VmId sender, bool isCorrection)
 {
     auto& group = work.group;
     auto& bucket = group.buckets[inGroup];
-    if (entry.epoch < bucket.epoch)
-        return false;
-    if (group.role == GroupRole::Active) {
-        if (entry.epoch == bucket.epoch)
-            return true;
-        // Another owner decided meanwhile (partition): its state must not be mistaken for newer than the merged one.
-        if (bucket.isTracked || entry.isTracked || entry.baseline != bucket.baseline)
-            bucket.track(nextEpoch(entry.epoch, m_options.self), work.now);
-        else
-            bucket.epoch = nextEpoch(entry.epoch, m_options.self);
-        work.publish(inGroup);
-        group.needsWork = true;
-        return false;
-    }
     bool isNewer = entry.epoch > bucket.epoch;
+    if (!m_peers.isReachable(sender))
+        return EntryResult::Ignored;
+    if (isCorrection || group.owner != m_options.self) {
+        // The other owner decides; this one hands over and meanwhile opens nothing off the baseline. It doesn't
+        // acknowledge, because it still decides packets by its own records.
+        // A correction that isn't newer answers a notice that was superseded meanwhile.
+        if (isCorrection ? isNewer : sender == group.owner)
+            group.splitAt = work.now;
+        if (isNewer)
+            merge(work, inGroup, entry, entry.epoch);
+        return EntryResult::Ignored;
+    }
+    if (group.splitWith != sender || !group.splitBuckets.test(inGroup)) {
+        // The first word of another owner is always answered by a newer state, so that it learns of this one.
+        if (group.splitWith != sender)
+            group.splitBuckets.reset();
+        group.splitWith = sender;
+        group.splitBuckets.set(inGroup);
+        merge(work, inGroup, entry, nextEpoch(std::max(bucket.epoch, entry.epoch), m_options.self));
+        return EntryResult::Outdated;
+    }
+    if (entry.epoch < bucket.epoch)
+        return EntryResult::Outdated;
+    if (isNewer)
+        merge(work, inGroup, entry, entry.epoch);
+    return EntryResult::Applied;
+}
+
+Coordinator::EntryResult Coordinator::applyEntry(
+    Work const& work, std::size_t inGroup, DueEntry const& entry, Core::VmId sender, bool isCorrection)
+{
+    auto& group = work.group;
+    auto& bucket = group.buckets[inGroup];
+    if (group.role == GroupRole::Active)
+        return applyEntryToOwned(work, inGroup, entry, sender, isCorrection);
+    if (entry.epoch < bucket.epoch)
+        return EntryResult::Outdated;
+    if (entry.epoch > bucket.epoch)
+        bucket.trackedAt = work.now;
     bucket.epoch = entry.epoch;
     bucket.baseline = entry.baseline;
     bucket.isTracked = entry.isTracked;
-    if (isNewer)
-        bucket.trackedAt = work.now;
     bucket.closeBaseline(entry.isBaselineClosed, work.now);
     // A claim collects states of members that aren't owners; they don't tell that nothing newer exists.
-    bucket.isKnown = bucket.isKnown || (isFromOwner && group.role != GroupRole::Claiming);
+    bucket.isKnown = bucket.isKnown || (!isCorrection && group.role != GroupRole::Claiming);
     work.publish(inGroup);
-    return true;
+    return EntryResult::Applied;
 }
 
 }
--- a/Libraries/LibPlacement/CoordinatorMessages.cpp
+++ b/Libraries/LibPlacement/CoordinatorMessages.cpp
@@ -50,7 +50,8 @@
         auto& bucket = group.buckets[i];
         auto index = work.bucketIndex(i);
         for (auto const& [vm, peer] : m_peers.peers()) {
-            if (!peer.isPresent)
+            // An unreachable member gets everything when it is back.
+            if (!m_peers.isReachable(vm))
                 continue;
             if (!m_notices.isSent(vm, work.id(), index, bucket.epoch)) {
                 m_notices.markSent(vm, work.id(), index, bucket.epoch);
@@ -66,7 +67,7 @@
         }
         if (bucket.isTracked)
             updatePermission(work, i);
-        bool isUndecided = bucket.permission == OffBaselinePermission::Waiting || !bucket.acknowledgedAt;
+        bool isUndecided = bucket.permission != OffBaselinePermission::Allowed || !bucket.acknowledgedAt;
         if (bucket.proposal || (bucket.isTracked && isUndecided))
             group.needsWork = true;
     }
--- a/Libraries/LibPlacement/CoordinatorOwnership.cpp
+++ b/Libraries/LibPlacement/CoordinatorOwnership.cpp
@@ -118,6 +118,8 @@
     group.backupOf = {};
     group.activePeer = {};
     group.replicaPeer = {};
+    group.splitWith = {};
+    group.splitAt.reset();
     group.needsWork = true;
     for (std::size_t i = 0; i < BucketGroup::BucketCount; ++i) {
         auto& bucket = group.buckets[i];
--- a/Libraries/LibPlacement/CoordinatorReceive.cpp
+++ b/Libraries/LibPlacement/CoordinatorReceive.cpp
@@ -52,9 +52,10 @@
         auto baseline = entry.baseline >= 0 ? indexes[static_cast<std::size_t>(entry.baseline)] : NoUpstreamIndex;
         DueEntry received { static_cast<std::uint32_t>(bucket), static_cast<Epoch>(entry.epoch), baseline,
             entry.__isset.tracked && entry.tracked, entry.__isset.baselineClosed && entry.baselineClosed };
-        if (applyEntry(work, inGroup, received, !notice.correction))
+        auto result = applyEntry(work, inGroup, received, sender, notice.correction);
+        isCurrent = isCurrent && result == EntryResult::Applied;
+        if (result != EntryResult::Outdated)
             continue;
-        isCurrent = false;
         auto const& own = group.buckets[inGroup];
         newer.push_back({ received.bucket, own.epoch, own.baseline, own.isTracked, own.isBaselineClosed });
     }
@@ -63,7 +64,7 @@
     // An owner must not count on a member that holds another state than the notice.
     if (isCurrent)
         m_acknowledgements[sender].push_back(notice.sequence);
-    else
+    else if (!newer.empty())
         sendEntries(*service, sender, newer, true, now);
 }
 
@@ -199,7 +200,7 @@
         applyEntry(work, ServiceState::inGroup(bucket),
             { static_cast<std::uint32_t>(bucket), static_cast<Epoch>(entry.epoch), baseline,
                 entry.__isset.tracked && entry.tracked, entry.__isset.baselineClosed && entry.baselineClosed },
-            false);
+            sender, true);
     }
     auto contains = [](std::vector<std::int32_t> const& groups, std::int32_t index) {
         return std::ranges::find(groups, index) != groups.end();
@@ -259,6 +260,8 @@
         case Messages::GroupOrderKind::Activate:
             if (!isActive)
                 activate(work, false);
+            group.splitWith = {};
+            group.splitAt.reset();
             reconcile(work);
             break;
         case Messages::GroupOrderKind::Grant:
--- a/Libraries/LibPlacement/FlowPlacer.cpp
+++ b/Libraries/LibPlacement/FlowPlacer.cpp
@@ -151,8 +151,11 @@
         }
         if (bucket.permission == OffBaselinePermission::Waiting)
             return drop(Reason::AwaitingAcknowledgement);
-        if (bucket.permission == OffBaselinePermission::Refused)
-            return refuse(Reason::Partitioned);
+        if (bucket.permission == OffBaselinePermission::Refused) {
+            // The other side may have forwarded the open before it learnt of the change.
+            bool isCertain = lookup.now - bucket.trackedAt >= RefusalDelay;
+            return isCertain ? refuse(Reason::Partitioned) : drop(Reason::Partitioned);
+        }
     }
     auto decision = forward(lookup, chosen, Reason::NewFlow);
     if (decision.verdict != Verdict::Forward)
--- a/Libraries/LibPlacement/Options.h
+++ b/Libraries/LibPlacement/Options.h
@@ -48,6 +48,9 @@
 /// For this long after taking over, an unknown open may repeat one that the former owner placed on the baseline
 /// without a copy. Covers the first three retransmissions of a SYN (after 1, 3 and 7 s, RFC 6298).
 inline constexpr std::chrono::seconds RepeatWindow { 10 };
+/// An accepted configuration is in force everywhere within 12 s; an open forwarded before is repeated within
+/// RepeatWindow. Only then a refusal because of a partition is true.
+inline constexpr std::chrono::seconds RefusalDelay { 22 };
 /// In this time after a change, active UDP flows get records at the owner.
 inline constexpr std::chrono::seconds UdpSettlingTime { 2 };
 /// A closed flow's last packets still go to its upstream for this long.
--- a/Libraries/LibPlacement/Outbox.cpp
+++ b/Libraries/LibPlacement/Outbox.cpp
@@ -1,12 +1,14 @@
 #include <LibPlacement/Outbox.h>
 
+#include <algorithm>
+
 namespace Chicorytally::Placement {
 
 void Outbox::add(std::int64_t sequence, OutgoingMessage outgoing, Content content, Core::TimePoint now,
     std::vector<OutgoingMessage>& out)
 {
     out.push_back(outgoing);
-    m_pending.emplace(sequence, Pending { std::move(outgoing), std::move(content), now });
+    m_pending.emplace(sequence, Pending { std::move(outgoing), std::move(content), now, now });
 }
 
 std::optional<Outbox::Pending> Outbox::acknowledge(Core::VmId sender, std::int64_t sequence)
@@ -19,14 +21,24 @@
     return pending;
 }
 
-void Outbox::resend(Core::TimePoint now, std::vector<OutgoingMessage>& out)
+std::vector<Core::VmId> Outbox::resend(Core::TimePoint now, std::vector<OutgoingMessage>& out)
 {
+    std::vector<Core::VmId> givenUp;
+    std::erase_if(m_pending, [&](auto const& entry) {
+        auto const& pending = entry.second;
+        if (!pending.outgoing.message.__isset.bucketNotice || now - pending.addedAt < NoticeLimit)
+            return false;
+        givenUp.push_back(pending.outgoing.receiver);
+        return true;
+    });
     for (auto& [sequence, pending] : m_pending) {
-        if (now - pending.sentAt < ResendInterval)
+        if (now - pending.sentAt < pending.interval)
             continue;
         pending.sentAt = now;
+        pending.interval = std::min(2 * pending.interval, LongestResendInterval);
         out.push_back(pending.outgoing);
     }
+    return givenUp;
 }
 
 void Outbox::forget(Core::VmId receiver)
--- a/Libraries/LibPlacement/Outbox.h
+++ b/Libraries/LibPlacement/Outbox.h
@@ -18,7 +18,11 @@
 /// Messages that are repeated until their receiver acknowledges them. Not thread-safe.
 class Outbox {
 public:
+    /// Before the first repetition; doubled up to the longest interval, so that a deaf member costs little.
     static constexpr std::chrono::milliseconds ResendInterval { 250 };
+    static constexpr std::chrono::milliseconds LongestResendInterval { 1000 };
+
+    static constexpr std::chrono::seconds NoticeLimit { 10 };
 
     /// What an acknowledgement stands for.
     struct Content {
@@ -39,7 +43,9 @@
     struct Pending {
         OutgoingMessage outgoing;
         Content content;
+        Core::TimePoint addedAt;
         Core::TimePoint sentAt;
+        std::chrono::milliseconds interval { ResendInterval };
     };
 
     explicit Outbox(Core::TimePoint now)
@@ -52,7 +58,8 @@
     void add(std::int64_t sequence, OutgoingMessage, Content, Core::TimePoint now, std::vector<OutgoingMessage>& out);
     /// Nothing for a repeated or unknown acknowledgement.
     std::optional<Pending> acknowledge(Core::VmId sender, std::int64_t sequence);
-    void resend(Core::TimePoint now, std::vector<OutgoingMessage>& out);
+    /// Returns the receivers of notices that were given up because they are probably superseded.
+    std::vector<Core::VmId> resend(Core::TimePoint now, std::vector<OutgoingMessage>& out);
     void forget(Core::VmId receiver);
     bool isEmpty() const { return m_pending.empty(); }
 
