LibDistribution: Limit the receivers that a source of large copies serves at a time

Cause: when many processes start at once, all copies share the few sources; 99 newcomers with 711 KB got 7 KB/s each, and nobody finished early enough to serve others. Change: a source serves two receivers of large blobs and tells others that it is busy; receivers use their sources in turn. A hearsay death of a suspect no longer causes an extra probe.

--- a/Libraries/LibDistribution/Distributor.cpp
+++ b/Libraries/LibDistribution/Distributor.cpp
@@ -25,7 +25,13 @@
 static constexpr std::chrono::milliseconds ComparisonInterval { 1000 };
 static constexpr std::chrono::milliseconds QuestionInterval { 500 };
 static constexpr std::chrono::milliseconds RequestTimeout { 500 };
-static constexpr std::chrono::milliseconds TransferTimeout { 3000 };
+/// A transfer without progress ends after this time; its sources may have been busy with others.
+static constexpr std::chrono::seconds TransferTimeout { 30 };
+/// Only so many receivers of large blobs are served at a time. When many processes start at once, the first ones then
+/// finish early and serve others, so that the time grows with the logarithm of their number.
+static constexpr std::size_t MaximumReceivers = 2;
+static constexpr std::size_t LargeBlob = 50 * ChunkSize;
+static constexpr std::chrono::milliseconds ReceiverTimeout { 1500 };
 static constexpr std::chrono::seconds BlobTime { 30 };
 static constexpr std::chrono::milliseconds PullBurst { 2000 };
 static constexpr std::chrono::milliseconds NewcomerBurst { 200 };
@@ -218,17 +224,28 @@
         ++m_rumourHeard;
         m_counters.conflicting += digest != m_files.digest() ? 1 : 0;
     }
+    if (message.__isset.isBusy && message.isBusy) {
+        dropSource(sender);
+        return;
+    }
     if (revision > own)
         noteTarget(sender, revision, digest);
     if (isQuestion || revision < own)
         sendDigest(sender);
-    if (m_transfer && revision > m_transfer->revision())
-        return;
     if (m_transfer && revision == m_transfer->revision() && digest == m_transfer->digest()
         && !m_transfer->fromRevision().isValid() && m_transfer->sources().size() < MaximumSources)
         m_transfer->addSource(sender);
 }
 
+void Distributor::dropSource(Core::VmId source)
+{
+    if (m_target)
+        std::erase(m_target->sources, source);
+    if (m_transfer)
+        m_transfer->removeSource(source);
+    m_requestedAt = std::nullopt;
+}
+
 void Distributor::noteTarget(Core::VmId sender, Core::Revision revision, std::uint64_t digest)
 {
     if (isRefused(revision, digest))
@@ -267,6 +284,17 @@
     return m_blobs.back();
 }
 
+bool Distributor::admitReceiver(Core::VmId receiver, Blob const& blob)
+{
+    if (blob.bytes.size() <= LargeBlob)
+        return true;
+    absl::erase_if(m_receivers, [this](auto const& item) { return now() - item.second >= ReceiverTimeout; });
+    if (!m_receivers.contains(receiver) && m_receivers.size() >= MaximumReceivers)
+        return false;
+    m_receivers[receiver] = now();
+    return true;
+}
+
 void Distributor::receiveDeltaRequest(Core::VmId sender, Messages::DeltaRequest const& request)
 {
     auto from = revisionFrom(request.fromRevision);
@@ -276,6 +304,10 @@
     }
     auto& blob = makeBlob(from);
     blob.usedAt = now();
+    if (!admitReceiver(sender, blob)) {
+        sendDigest(sender, DigestKind::Busy);
+        return;
+    }
     if (!m_serveBudget.take(static_cast<double>(std::min(blob.bytes.size(), ChunkSize)), now()))
         return;
     if (blob.bytes.size() > ChunkSize) {
@@ -299,6 +331,10 @@
         return;
     }
     blob->usedAt = now();
+    if (!admitReceiver(sender, *blob)) {
+        sendDigest(sender, DigestKind::Busy);
+        return;
+    }
     auto wanted = request.__isset.chunkCount ? static_cast<std::size_t>(std::max(request.chunkCount, 0)) : 1;
     auto first = static_cast<std::size_t>(std::max(request.firstChunk, 0));
     for (std::size_t i = 0; i < std::min(wanted, MaximumChunksPerRequest); ++i) {
@@ -397,7 +433,7 @@
         // Most questions stay in the zone; one in three also finds another zone when the own one has nothing.
         bool isOutside = m_zonePeers.empty() || (i == 0 && !m_otherPeers.empty());
         if (auto peer = pick(isOutside ? m_otherPeers : m_zonePeers))
-            sendDigest(*peer, true);
+            sendDigest(*peer, DigestKind::Question);
     }
 }
 
@@ -463,11 +499,13 @@
 
 void Distributor::continueTransfer()
 {
-    if (now() - m_transfer->progressAt() >= TransferTimeout || m_transfer->sources().empty()) {
+    if (now() - m_transfer->progressAt() >= TransferTimeout) {
         m_transfer = std::nullopt;
         m_requestedAt = std::nullopt;
         return;
     }
+    if (m_transfer->sources().empty())
+        return;
     auto& budget = m_files.revision().isValid() ? m_pullBudget : m_newcomerBudget;
     while (auto first = m_transfer->nextMissing(now())) {
         std::size_t count = 0;
@@ -485,7 +523,7 @@
         request.__set_fromRevision(toWire(m_transfer->fromRevision().value()));
         Messages::DistributionMessage message;
         message.__set_copyRequest(request);
-        send(*pick(m_transfer->sources()), std::move(message));
+        send(*m_transfer->nextSource(), std::move(message));
     }
 }
 
@@ -501,15 +539,17 @@
     return peers[m_random() % peers.size()];
 }
 
-void Distributor::sendDigest(Core::VmId receiver, bool isQuestion)
+void Distributor::sendDigest(Core::VmId receiver, DigestKind kind)
 {
     Messages::RevisionDigest digest;
     digest.revision = toWire(m_files.revision().value());
     digest.digest = toWire(m_files.digest());
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_role.answeredAt());
     digest.__set_platformAgeMilliseconds(static_cast<std::int32_t>(std::min<std::int64_t>(age.count(), INT32_MAX)));
-    if (isQuestion)
+    if (kind == DigestKind::Question)
         digest.__set_isQuestion(true);
+    if (kind == DigestKind::Busy)
+        digest.__set_isBusy(true);
     Messages::DistributionMessage message;
     message.__set_revisionDigest(digest);
     send(receiver, std::move(message));
--- a/Libraries/LibDistribution/Distributor.h
+++ b/Libraries/LibDistribution/Distributor.h
@@ -7,7 +7,7 @@
 #include <LibDistribution/VersionedFiles.h>
 
 #include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 
 #include <random>
 
@@ -79,6 +79,7 @@
     void receiveCopyRequest(Core::VmId, Messages::CopyRequest const&);
     void receiveCopyChunk(Core::VmId, Messages::CopyChunk const&);
     void noteTarget(Core::VmId, Core::Revision, std::uint64_t digest);
+    void dropSource(Core::VmId);
     void offer(Core::Revision, FileSet, std::uint64_t digest);
     void applyDelta(Messages::Delta const&);
 
@@ -93,7 +94,15 @@
     Blob* findBlob(Core::Revision, Core::Revision askedFrom);
     Blob& makeBlob(Core::Revision askedFrom);
     void sendChunk(Core::VmId, Blob const&, std::size_t index);
-    void sendDigest(Core::VmId, bool isQuestion = false);
+    enum class DigestKind : std::uint8_t {
+        Statement,
+        Question,
+        Busy,
+    };
+
+    void sendDigest(Core::VmId, DigestKind = DigestKind::Statement);
+    /// Whether the receiver may fetch the blob now.
+    bool admitReceiver(Core::VmId, Blob const&);
     void send(Core::VmId, Messages::DistributionMessage);
     std::optional<Core::VmId> pick(std::vector<Core::VmId> const&);
     bool isRefused(Core::Revision, std::uint64_t digest) const;
@@ -130,6 +139,8 @@
     Budget m_newcomerBudget;
     Budget m_serveBudget;
     std::vector<Blob> m_blobs;
+    /// Receivers of large blobs and when they last asked.
+    absl::flat_hash_map<Core::VmId, Core::TimePoint> m_receivers;
 
     unsigned m_rumourRounds { 0 };
     unsigned m_rumourHeard { 0 };
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -84,4 +84,11 @@
 
 void Transfer::removeSource(Core::VmId vm) { std::erase(m_sources, vm); }
 
+std::optional<Core::VmId> Transfer::nextSource()
+{
+    if (m_sources.empty())
+        return std::nullopt;
+    return m_sources[m_turn++ % m_sources.size()];
+}
+
 }
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -32,6 +32,8 @@
     std::vector<Core::VmId> const& sources() const { return m_sources; }
     void addSource(Core::VmId);
     void removeSource(Core::VmId);
+    /// The sources in turn, so that they share the work.
+    std::optional<Core::VmId> nextSource();
 
 private:
     struct Chunk {
@@ -46,6 +48,7 @@
     std::size_t m_missing { 0 };
     Core::TimePoint m_progressAt;
     std::vector<Core::VmId> m_sources;
+    std::size_t m_turn { 0 };
 };
 
 }
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -126,7 +126,8 @@
     if (entry.hearsay >= hearsay)
         return MergeOutcome::Ignored;
     entry.hearsay = hearsay;
-    return MergeOutcome::Disputed;
+    // A suspect is probed anyway before its timeout ends.
+    return entry.suspectSince ? MergeOutcome::Ignored : MergeOutcome::Disputed;
 }
 
 /// Takes over what the update says about the place of the member; a partial update leaves the rest as it is.
--- a/Libraries/LibMessages/distribution.thrift
+++ b/Libraries/LibMessages/distribution.thrift
@@ -9,6 +9,8 @@
     3: optional i32 platformAgeMilliseconds,
     /// The sender asks for a RevisionDigest in return.
     4: optional bool isQuestion,
+    /// The sender serves copies to others at the moment; the receiver should try another source.
+    5: optional bool isBusy,
 }
 
 struct DeltaRequest {
--- a/Libraries/LibMessages/gen/distribution_types.cpp
+++ b/Libraries/LibMessages/gen/distribution_types.cpp
@@ -35,6 +35,11 @@
   this->isQuestion = val;
 __isset.isQuestion = true;
 }
+
+void RevisionDigest::__set_isBusy(const bool val) {
+  this->isBusy = val;
+__isset.isBusy = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionDigest& obj)
 {
   obj.printTo(out);
@@ -97,6 +102,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isBusy);
+          this->__isset.isBusy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -136,6 +149,11 @@
     xfer += oprot->writeBool(this->isQuestion);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.isBusy) {
+    xfer += oprot->writeFieldBegin("isBusy", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->isBusy);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -147,6 +165,7 @@
   swap(a.digest, b.digest);
   swap(a.platformAgeMilliseconds, b.platformAgeMilliseconds);
   swap(a.isQuestion, b.isQuestion);
+  swap(a.isBusy, b.isBusy);
   swap(a.__isset, b.__isset);
 }
 
@@ -155,6 +174,7 @@
   digest = other0.digest;
   platformAgeMilliseconds = other0.platformAgeMilliseconds;
   isQuestion = other0.isQuestion;
+  isBusy = other0.isBusy;
   __isset = other0.__isset;
 }
 RevisionDigest::RevisionDigest(RevisionDigest&& other1) noexcept {
@@ -162,6 +182,7 @@
   digest = other1.digest;
   platformAgeMilliseconds = other1.platformAgeMilliseconds;
   isQuestion = other1.isQuestion;
+  isBusy = other1.isBusy;
   __isset = other1.__isset;
 }
 RevisionDigest& RevisionDigest::operator=(const RevisionDigest& other2) noexcept {
@@ -169,6 +190,7 @@
   digest = other2.digest;
   platformAgeMilliseconds = other2.platformAgeMilliseconds;
   isQuestion = other2.isQuestion;
+  isBusy = other2.isBusy;
   __isset = other2.__isset;
   return *this;
 }
@@ -177,6 +199,7 @@
   digest = other3.digest;
   platformAgeMilliseconds = other3.platformAgeMilliseconds;
   isQuestion = other3.isQuestion;
+  isBusy = other3.isBusy;
   __isset = other3.__isset;
   return *this;
 }
@@ -187,6 +210,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "platformAgeMilliseconds="; (__isset.platformAgeMilliseconds ? (out << to_string(platformAgeMilliseconds)) : (out << "<null>"));
   out << ", " << "isQuestion="; (__isset.isQuestion ? (out << to_string(isQuestion)) : (out << "<null>"));
+  out << ", " << "isBusy="; (__isset.isBusy ? (out << to_string(isBusy)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/distribution_types.h
+++ b/Libraries/LibMessages/gen/distribution_types.h
@@ -36,9 +36,10 @@
 class DistributionMessage;
 
 typedef struct _RevisionDigest__isset {
-  _RevisionDigest__isset() : platformAgeMilliseconds(false), isQuestion(false) {}
+  _RevisionDigest__isset() : platformAgeMilliseconds(false), isQuestion(false), isBusy(false) {}
   bool platformAgeMilliseconds :1;
   bool isQuestion :1;
+  bool isBusy :1;
 } _RevisionDigest__isset;
 
 class RevisionDigest : public virtual ::apache::thrift::TBase {
@@ -52,7 +53,8 @@
                  : revision(0),
                    digest(0),
                    platformAgeMilliseconds(0),
-                   isQuestion(0) {
+                   isQuestion(0),
+                   isBusy(0) {
   }
 
   virtual ~RevisionDigest() noexcept;
@@ -60,6 +62,7 @@
   int64_t digest;
   int32_t platformAgeMilliseconds;
   bool isQuestion;
+  bool isBusy;
 
   _RevisionDigest__isset __isset;
 
@@ -71,6 +74,8 @@
 
   void __set_isQuestion(const bool val);
 
+  void __set_isBusy(const bool val);
+
   bool operator == (const RevisionDigest & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -85,6 +90,10 @@
       return false;
     else if (__isset.isQuestion && !(isQuestion == rhs.isQuestion))
       return false;
+    if (__isset.isBusy != rhs.__isset.isBusy)
+      return false;
+    else if (__isset.isBusy && !(isBusy == rhs.isBusy))
+      return false;
     return true;
   }
   bool operator != (const RevisionDigest &rhs) const {
--- a/Tests/LibDistribution/TestFleet.cpp
+++ b/Tests/LibDistribution/TestFleet.cpp
@@ -276,6 +276,21 @@
     BOOST_TEST(static_cast<double>(served) <= 1'040'000 * (1.25 + 2 * loss));
 }
 
+BOOST_AUTO_TEST_CASE(LargeCopiesReachManyNewcomers)
+{
+    // Guards against a start of many members in which all copies share the few sources, so that none is done early and
+    // the time grows with the number of members.
+    auto owner = fleetOf({ .nodes = 60, .zones = 1, .seed = 34 });
+    auto& fleet = *owner;
+    FileSet large;
+    for (int i = 0; i < 4; ++i)
+        large["file-" + std::to_string(i)] = std::string(100'000, static_cast<char>('a' + i));
+    fleet.publish(Revision { 9 }, large);
+    fleet.startAll();
+    // 58 copies of 400 KB from two sources of 50 KB/s each would take 232 s.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.isInForceEverywhere(Revision { 9 }); }, 90s).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ReadsStayFarBelowTheBudget)
 {
     // Guards against readers that come back all at once when the platform returns, and against a cold start in which
