chicorytally: Add the command-line tool

Cause: operators had no means to check, compare or look into a configuration before and after it is in force. Fields of the daemon's answers are printed as they come, missing ones as '-'.

--- /dev/null
+++ b/Utilities/chicorytally/CheckCommand.cpp
@@ -0,0 +1,32 @@
+#include <chicorytally/ConfigurationFolder.h>
+
+namespace Chicorytally::Tool {
+
+static int runCheck(Invocation const& invocation)
+{
+    auto const& folder = invocation.operands.front();
+    auto configuration = readOrPrintFaults(invocation, folder);
+    if (!configuration)
+        return ExitFaults;
+    if (invocation.isJson) {
+        printJson(invocation.out,
+            { { "good", true }, { "folder", folder }, { "revision", configuration->revision.value() },
+                { "services", configuration->services.size() }, { "upstreams", upstreamCount(*configuration) },
+                { "zones", configuration->zones.size() }, { "faults", Json::array() } });
+        return ExitGood;
+    }
+    invocation.out << folder << ": good, revision " << configuration->revision.value() << ", "
+                   << configuration->services.size() << " services, " << upstreamCount(*configuration) << " upstreams, "
+                   << configuration->zones.size() << " zones\n";
+    return ExitGood;
+}
+
+Command checkCommand()
+{
+    return { "check", { "DIR" }, "Check a configuration folder and print all of its faults.",
+        "DIR holds .toml files, which are merged in the order of their names. A fault is printed as\n"
+        "FILE:LINE:COLUMN: CAUSE; REMEDY. Nothing is changed anywhere.",
+        runCheck };
+}
+
+}
--- /dev/null
+++ b/Utilities/chicorytally/ConfigurationFolder.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chicorytally/Command.h>
+#include <chicorytally/JsonOutput.h>
+
+namespace Chicorytally::Tool {
+
+/// Reads a folder. When it has faults, they are printed, in the chosen format, and nothing is returned.
+inline std::optional<Model::Configuration> readOrPrintFaults(Invocation const& invocation, std::string const& folder)
+{
+    Config::FolderReader reader;
+    auto configuration = reader.read(folder);
+    if (configuration)
+        return configuration;
+    if (invocation.isJson) {
+        printJson(invocation.out, { { "good", false }, { "folder", folder }, { "faults", toJson(reader.faults()) } });
+        return std::nullopt;
+    }
+    for (auto const& fault : reader.faults())
+        invocation.err << fault.toString() << "\n";
+    invocation.err << folder << ": " << reader.faults().size() << " faults\n";
+    return std::nullopt;
+}
+
+inline std::size_t upstreamCount(Model::Configuration const& configuration)
+{
+    std::size_t count = 0;
+    for (auto const& service : configuration.services)
+        count += service.upstreams.size();
+    return count;
+}
+
+}
--- /dev/null
+++ b/Utilities/chicorytally/DaemonClient.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <chicorytally/Command.h>
+#include <chicorytally/JsonOutput.h>
+
+namespace Chicorytally::Tool {
+
+/// Asks the daemon for one JSON object and prints it. A failure is printed in the chosen format. Returns the exit code.
+int printAnswer(Invocation const&, std::string const& path, std::vector<std::string> const& firstColumns);
+
+}
--- /dev/null
+++ b/Utilities/chicorytally/ExplainCommand.cpp
@@ -0,0 +1,41 @@
+#include <chicorytally/DaemonClient.h>
+
+#include <LibCore/Core.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace Chicorytally::Tool {
+
+// The flow as the daemon takes it; nothing when it is bad.
+static std::optional<std::string> checkedFlow(std::string const& text)
+{
+    std::vector<std::string> parts = absl::StrSplit(text, ',');
+    bool isGood = parts.size() == 3 && (parts[0] == "tcp" || parts[0] == "udp");
+    auto source = isGood ? Core::Endpoint::parse(parts[1]) : std::nullopt;
+    auto destination = isGood ? Core::Endpoint::parse(parts[2]) : std::nullopt;
+    if (!source || !destination)
+        return std::nullopt;
+    return absl::StrCat(parts[0], ",", source->toString(), ",", destination->toString());
+}
+
+static int runExplain(Invocation const& invocation)
+{
+    auto flow = checkedFlow(invocation.operands.front());
+    if (!flow) {
+        invocation.err << "chicorytally: bad flow '" << invocation.operands.front()
+                       << "'; write PROTOCOL,CALLER,SERVICE, for example tcp,10.0.0.1:4000,198.51.100.10:7000\n";
+        return ExitUsage;
+    }
+    return printAnswer(invocation, absl::StrCat("/explain?flow=", *flow), { "step", "verdict", "reason", "upstream" });
+}
+
+Command explainCommand()
+{
+    return { "explain", { "FLOW" }, "Print where a running daemon sends a flow, and why.",
+        "FLOW is PROTOCOL,CALLER,SERVICE with tcp or udp and addresses as IP:PORT, for example\n"
+        "tcp,10.0.0.1:4000,198.51.100.10:7000 or udp,[2001:db8::1]:4000,[2001:db8::10]:7000.",
+        runExplain };
+}
+
+}
--- /dev/null
+++ b/Utilities/chicorytally/MembersCommand.cpp
@@ -0,0 +1,17 @@
+#include <chicorytally/DaemonClient.h>
+
+namespace Chicorytally::Tool {
+
+static int runMembers(Invocation const& invocation)
+{
+    return printAnswer(invocation, "/members", { "name", "zone", "status", "incarnation", "revision" });
+}
+
+Command membersCommand()
+{
+    return { "members", {}, "Print the members of the fleet as a running daemon sees them.",
+        "Asks /members of the daemon that --daemon names. Fields that the daemon leaves out are printed as '-'.",
+        runMembers };
+}
+
+}
