Benchmarks: Drive the forwarding benchmark with the real engine

The engine treats a balancer whose control ticks stop as paused, so the benchmark lost half of its packets once the stub was replaced. Filters that only the first daemon used are removed. The example run stops when its addresses are taken by another run.

--- a/Benchmarks/Forwarding/Bench.cpp
+++ b/Benchmarks/Forwarding/Bench.cpp
@@ -1,5 +1,7 @@
 #include "Bench.h"
 
+#include "AllocationCounter.h"
+
 #include <iostream>
 #include <random>
 
@@ -9,6 +11,7 @@
 static constexpr std::size_t PayloadSize = 100;
 static constexpr std::uint64_t HashKey = 99;
 static constexpr std::size_t TcpFlagsOffset = Packet::GueHeaderSize + 20 + 13;
+static constexpr std::chrono::milliseconds TickInterval { 100 };
 static constexpr Core::VmId Self { 1 };
 
 static Core::Endpoint serviceAddress() { return *Core::Endpoint::parse("198.51.100.10:7000"); }
@@ -45,8 +48,8 @@
         std::cerr << error << "\n";
         std::exit(1);
     }
-    applyConfiguration();
     applyMembers();
+    applyConfiguration();
     buildPackets(seed);
 }
 
@@ -78,7 +81,6 @@
     Placement::Member self { .vm = Self, .incarnation = Core::Incarnation { 1 }, .zone = Model::zoneId("a") };
     self.revision = Core::Revision { 1 };
     m_engine.applyMembers({ { self } });
-    m_engine.tick();
 }
 
 void Bench::buildPackets(std::uint64_t seed)
@@ -100,8 +102,18 @@
     }
 }
 
+// The engine takes itself for paused when its control ticks stop.
+void Bench::tickWhenDue()
+{
+    if (m_clock.now() < m_nextTick)
+        return;
+    m_engine.tick();
+    m_nextTick = m_clock.now() + TickInterval;
+}
+
 void Bench::sendBatch(unsigned tcpFlags)
 {
+    tickWhenDue();
     auto destination = m_pipeline->worker(0).socket().localEndpoint();
     for (std::size_t i = 0; i < DataPath::BatchSize; ++i) {
         auto& packet = m_packets[m_next++ % FlowCount];
@@ -124,9 +136,11 @@
     std::chrono::nanoseconds sum { 0 };
     for (std::size_t i = 0; i < batches; ++i) {
         sendBatch(tcpFlags);
+        auto allocations = allocationCount();
         auto start = m_clock.now();
         m_pipeline->worker(0).runOnce();
         sum += m_clock.now() - start;
+        m_allocations += allocationCount() - allocations;
         takeForwarded();
     }
     return sum;
--- a/Benchmarks/Forwarding/Bench.h
+++ b/Benchmarks/Forwarding/Bench.h
@@ -22,11 +22,13 @@
     std::chrono::nanoseconds runEcho(std::size_t batches);
     /// Packets that did not reach the upstream.
     std::uint64_t lostCount() const { return m_lost; }
+    std::uint64_t allocationsInChain() const { return m_allocations; }
 
 private:
     void applyConfiguration();
     void applyMembers();
     void buildPackets(std::uint64_t seed);
+    void tickWhenDue();
     void sendBatch(unsigned tcpFlags);
     void takeForwarded();
 
@@ -43,7 +45,9 @@
     DataPath::BatchSender m_echoSender;
     std::vector<std::vector<std::uint8_t>> m_packets;
     std::size_t m_next { 0 };
+    Core::TimePoint m_nextTick;
     std::uint64_t m_lost { 0 };
+    std::uint64_t m_allocations { 0 };
 };
 
 }
--- a/Benchmarks/Forwarding/Main.cpp
+++ b/Benchmarks/Forwarding/Main.cpp
@@ -1,6 +1,5 @@
 /// How much of a bare UDP echo one worker reaches with its whole filter chain, and what it allocates.
 
-#include "AllocationCounter.h"
 #include "Bench.h"
 
 #include <Report/FigureReport.h>
@@ -38,17 +37,16 @@
     std::vector<double> shares;
     std::vector<double> chainTimes;
     std::vector<double> echoTimes;
-    std::uint64_t allocations = 0;
+    auto allocationsBefore = bench.allocationsInChain();
     for (std::size_t round = 0; round < Rounds; ++round) {
         auto echo = bench.runEcho(BatchesPerRound);
-        auto before = allocationCount();
         auto chain = bench.runChain(BatchesPerRound, Packet::Acknowledgement);
-        allocations += allocationCount() - before;
         echoTimes.push_back(static_cast<double>(echo.count()) / PacketsPerRound);
         chainTimes.push_back(static_cast<double>(chain.count()) / PacketsPerRound);
         shares.push_back(static_cast<double>(echo.count()) / static_cast<double>(chain.count()));
     }
 
+    auto allocations = bench.allocationsInChain() - allocationsBefore;
     FigureReport report;
     report.addAtLeast("forwarding_share_of_echo", median(shares), LeastShareOfEcho, "ratio");
     report.add("forwarding_share_of_echo_least_round", std::ranges::min(shares), "ratio");
--- a/Libraries/LibDataPath/Filters.h
+++ b/Libraries/LibDataPath/Filters.h
@@ -13,9 +13,6 @@
 /// Greatest number of peer hops of a packet.
 constexpr std::uint8_t MaxHopCount = 2;
 
-/// Gives the configuration in force; nothing before the first one.
-using ConfigurationSource = std::function<std::shared_ptr<Model::Configuration const>()>;
-
 /// Gives the data endpoint of a member.
 using PeerAddressSource = std::function<std::optional<Core::Endpoint>(Core::VmId)>;
 
@@ -34,15 +31,11 @@
 /// Finds the service that the packet is for, in the table of the reader's last refresh.
 Filter makeServiceFilter(Published<ServiceTable>::Reader const&);
 
-/// The same for a small program: reads the source and searches all services for each packet.
-Filter makeServiceFilter(ConfigurationSource);
-
 /// Drops new flows while this balancer is overloaded.
 Filter makeAdmissionFilter(Admission&);
 
 /// Asks for a decision; a drop stops here.
 Filter makePlacementFilter(DecideFilterHook);
-Filter makePlacementFilter(Placement::Engine&);
 
 /// For a packet that is refused or reset, builds the answer to the caller and sends it by the route. Other packets
 /// pass.
--- a/Libraries/LibDataPath/PacketCounters.h
+++ b/Libraries/LibDataPath/PacketCounters.h
@@ -19,7 +19,6 @@
 
 private:
     static constexpr std::size_t VerdictCount = static_cast<std::size_t>(Placement::Verdict::Drop) + 1;
-    static constexpr std::size_t ReasonCount = static_cast<std::size_t>(Placement::Reason::HopLimit) + 1;
 
     Telemetry::CounterShard& decided(Placement::Decision const&);
     Telemetry::CounterShard& dropped(PacketContext const&);
@@ -30,7 +29,7 @@
     Telemetry::CounterShard& m_sendFailures;
     Telemetry::Distribution& m_batchSize;
     // Made when a combination is first seen, so that the scrape shows only what happens.
-    std::array<std::array<Telemetry::CounterShard*, ReasonCount>, VerdictCount> m_decided {};
+    std::array<std::array<Telemetry::CounterShard*, Placement::ReasonCount>, VerdictCount> m_decided {};
     std::array<Telemetry::CounterShard*, DropReasonCount> m_dropped {};
     std::array<Telemetry::CounterShard*, Packet::ParseErrorCount> m_badPackets {};
 };
--- a/Libraries/LibDataPath/PlacementFilter.cpp
+++ b/Libraries/LibDataPath/PlacementFilter.cpp
@@ -13,9 +13,4 @@
     };
 }
 
-Filter makePlacementFilter(Placement::Engine& engine)
-{
-    return makePlacementFilter([&engine](Placement::PacketInfo const& info) { return engine.decide(info); });
-}
-
 }
--- a/Libraries/LibDataPath/ServiceFilter.cpp
+++ b/Libraries/LibDataPath/ServiceFilter.cpp
@@ -17,18 +17,4 @@
     };
 }
 
-Filter makeServiceFilter(ConfigurationSource source)
-{
-    return [source = std::move(source)](PacketContext& context) {
-        auto configuration = source();
-        if (!configuration)
-            return stop(context, DropReason::UnknownService);
-        auto const* service = configuration->findService(context.packet.flow.destination, context.packet.flow.protocol);
-        if (!service)
-            return stop(context, DropReason::UnknownService);
-        context.info.service = service->id;
-        return FilterResult::Continue;
-    };
-}
-
 }
--- a/Libraries/LibDataPath/Worker.cpp
+++ b/Libraries/LibDataPath/Worker.cpp
@@ -17,11 +17,6 @@
 {
 }
 
-Worker::Worker(UdpSocket udpSocket, std::shared_ptr<FilterChain const> chain)
-    : Worker(std::move(udpSocket), WorkerChains { nullptr, std::move(chain) })
-{
-}
-
 Worker::~Worker() { stop(); }
 
 void Worker::start()
@@ -59,8 +54,6 @@
 
 void Worker::classify(std::size_t count)
 {
-    if (!m_chains.classify)
-        return;
     for (std::size_t i = 0; i < count; ++i)
         m_chains.classify->run(m_contexts[i]);
 }
--- a/Libraries/LibDataPath/Worker.h
+++ b/Libraries/LibDataPath/Worker.h
@@ -41,8 +41,6 @@
 class Worker {
 public:
     Worker(UdpSocket, WorkerChains, WorkerHooks = {});
-    /// With one chain, packets are handled in the order of their arrival.
-    Worker(UdpSocket, std::shared_ptr<FilterChain const>);
     Worker(Worker const&) = delete;
     Worker& operator=(Worker const&) = delete;
     ~Worker();
--- a/Meta/example_run.py
+++ b/Meta/example_run.py
@@ -25,6 +25,7 @@
 # A new flow may still go to an upstream that is leaving, or to a zone that is out, for this long after the change.
 DRAIN_BOUND_SECONDS = 3.5
 SETTLE_SECONDS = 2.0
+START_SECONDS = 0.5
 # How long the fabric goes on sending to a balancer that has died.
 FABRIC_DETECTION_SECONDS = 1.0
 STOP_TIMEOUT_SECONDS = 30
@@ -119,6 +120,7 @@
         for service in self.services.values():
             for name, upstream in service["upstream"].items():
                 self.start_upstream(name, upstream)
+        self.check_running()
         for index in range(1, len(self.site.balancer_zones) + 1):
             self.start_balancer(index)
         for index in self.balancers:
@@ -129,6 +131,12 @@
         )
         time.sleep(SETTLE_SECONDS)
 
+    def check_running(self) -> None:
+        """Stops a run that would mix with another one on the same addresses."""
+        time.sleep(START_SECONDS)
+        if any(process.poll() is not None for process in self.processes):
+            raise RuntimeError("a stand-in has ended at its start; is another example run using its addresses?")
+
     def start_upstream(self, name: str, upstream: dict) -> None:
         health = upstream["health"].removeprefix("http://").split("/")[0]
         self.spawn(
