--- a/Libraries/LibDataPath/Pipeline.cpp
+++ b/Libraries/LibDataPath/Pipeline.cpp
@@ -179,6 +179,7 @@
     PipelineHooks hooks, Telemetry::Metrics& metrics, Telemetry::Tracer* tracer, std::string& error)
 {
     std::unique_ptr<Pipeline> pipeline { new Pipeline { clock, options, std::move(hooks), metrics, tracer } };
+    pipeline->observeTracer();
     auto workers = pipeline->m_options.workers;
     for (std::size_t i = 0; i < workers; ++i) {
         SocketError socketError;
@@ -192,6 +193,16 @@
     return pipeline;
 }
 
+void Pipeline::observeTracer()
+{
+    if (!m_tracer)
+        return;
+    m_metrics.observeCounter("chicorytally_spans_recorded_total", "Trace spans taken for writing.",
+        [tracer = m_tracer] { return static_cast<double>(tracer->recordedCount()); });
+    m_metrics.observeCounter("chicorytally_spans_dropped_total", "Trace spans dropped as the queue was full or in use.",
+        [tracer = m_tracer] { return static_cast<double>(tracer->droppedCount()); });
+}
+
 void Pipeline::applyConfiguration(Model::Configuration const& configuration)
 {
     m_services.publish(std::make_shared<ServiceTable const>(configuration));
--- a/Libraries/LibDataPath/Pipeline.h
+++ b/Libraries/LibDataPath/Pipeline.h
@@ -40,7 +40,7 @@
 class Pipeline {
 public:
     /// Binds the sockets; nothing and the error when that fails. The clock, the metrics and the tracer, which may be
-    /// null, must outlive the pipeline.
+    /// null, must outlive the pipeline, and the tracer also the last rendering of the metrics.
     static std::unique_ptr<Pipeline> create(Core::Clock const&, PipelineOptions const&, PipelineHooks,
         Telemetry::Metrics&, Telemetry::Tracer*, std::string& error);
     Pipeline(Pipeline const&) = delete;
@@ -68,6 +68,8 @@
 
     Pipeline(Core::Clock const&, PipelineOptions const&, PipelineHooks, Telemetry::Metrics&, Telemetry::Tracer*);
 
+    void observeTracer();
+
     Core::Clock const& m_clock;
     PipelineOptions m_options;
     PipelineHooks m_hooks;
--- a/Tests/LibDataPath/TestPipeline.cpp
+++ b/Tests/LibDataPath/TestPipeline.cpp
@@ -284,6 +284,7 @@
         }
         harness.run();
         BOOST_TEST(tracer.flush() == 1u);
+        BOOST_TEST(harness.hasMetric("chicorytally_spans_recorded_total 1"));
     }
     BOOST_TEST(spans[0]["traceId"] == spans[1]["traceId"]);
     BOOST_TEST(spans[0]["spanId"] != spans[1]["spanId"]);
