--- a/Benchmarks/Harness/Fleet.cpp
+++ b/Benchmarks/Harness/Fleet.cpp
@@ -97,7 +97,7 @@
     balancer.knowledge = {};
     balancer.method = m_options.method(m_clock, { .self = balancer.vm, .hashKey = 77 }, m_options.hooks);
     balancer.method->applyMembers(viewFor(index));
-    learn(index, std::move(configuration));
+    learn(index, configuration);
     poll(index, balancer.generation, 0);
 }
 
@@ -133,7 +133,7 @@
     balancer.method->applyConfiguration(std::move(configuration));
 }
 
-void Fleet::spread(ConfigurationPointer configuration, std::chrono::nanoseconds maximumDelay)
+void Fleet::spread(ConfigurationPointer const& configuration, std::chrono::nanoseconds maximumDelay)
 {
     m_configuration = configuration;
     m_model.addConfiguration(*configuration);
--- a/Benchmarks/Harness/Fleet.h
+++ b/Benchmarks/Harness/Fleet.h
@@ -90,7 +90,7 @@
         }
     };
 
-    void boot(std::size_t balancer, ConfigurationPointer);
+    void boot(std::size_t balancer, ConfigurationPointer const&);
     Placement::MemberView viewFor(std::size_t balancer) const;
     void poll(std::size_t balancer, std::uint64_t generation, std::uint64_t round);
     void deliver(std::size_t from, Placement::OutgoingMessage const&);
--- /dev/null
+++ b/Tests/LibPlacement/TestEngine.cpp
@@ -0,0 +1,272 @@
+#include <Harness/Traffic.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace Chicorytally::Placement {
+
+using Harness::Fleet;
+using Harness::FleetOptions;
+using Harness::Flow;
+using Harness::Sites;
+using Harness::Traffic;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+    /// One engine alone, with a clock of its own.
+    struct Alone {
+        explicit Alone(EngineHooks hooks = {}, std::size_t maxRecords = 1'000'000)
+            : engine(clock, { .self = Model::vmId("alone"), .hashKey = 5, .maxRecords = maxRecords }, std::move(hooks))
+        {
+        }
+
+        void apply() { engine.applyConfiguration(Sites::commit(configuration)); }
+        void pass(std::chrono::nanoseconds duration)
+        {
+            for (std::chrono::nanoseconds passed { 0 }; passed < duration; passed += milliseconds { 100 }) {
+                clock.advance(milliseconds { 100 });
+                engine.tick();
+            }
+        }
+        PacketInfo packet(std::uint16_t port, PacketKind kind, std::string const& name = "register")
+        {
+            auto const& service = Sites::service(configuration, name);
+            std::array<std::uint8_t, 4> caller { 100, 0, 0, 1 };
+            return { .flow = { { Core::IpAddress::fromV4(caller), port }, service.address, service.protocol },
+                .service = service.id,
+                .kind = kind };
+        }
+        Decision send(std::uint16_t port, PacketKind kind) { return engine.decide(packet(port, kind)); }
+
+        Core::ManualClock clock;
+        Model::Configuration configuration { Sites::accra() };
+        Engine engine;
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(Engines)
+
+BOOST_AUTO_TEST_CASE(AloneServesAtOnce)
+{
+    // Guards against a lone balancer that waits for members that don't exist.
+    Alone alone;
+    BOOST_TEST(!alone.engine.synchronised());
+    alone.apply();
+    BOOST_TEST(alone.engine.synchronised());
+    auto opened = alone.send(1, PacketKind::Open);
+    BOOST_REQUIRE(opened.verdict == Verdict::Forward);
+    BOOST_TEST((opened.reason == Reason::NewFlow));
+    BOOST_TEST((alone.send(1, PacketKind::Data).upstream == opened.upstream));
+    BOOST_TEST((alone.engine.decide({ .service = Core::ServiceId { 1 } }).reason == Reason::UnknownService));
+}
+
+BOOST_AUTO_TEST_CASE(HooksCountEachFlowOnce)
+{
+    // Guards against counts that repeated opens or closes push away from the flows that exist.
+    int opened = 0;
+    int closed = 0;
+    EngineHooks hooks;
+    hooks.flowOpened = [&](Core::ServiceId, Core::UpstreamId) { ++opened; };
+    hooks.flowClosed = [&](Core::ServiceId, Core::UpstreamId) { ++closed; };
+    Alone alone { hooks };
+    alone.apply();
+    for (int i = 0; i < 3; ++i)
+        alone.send(1, PacketKind::Open);
+    BOOST_TEST(opened == 1);
+    for (int i = 0; i < 3; ++i)
+        alone.send(1, PacketKind::Close);
+    BOOST_TEST(closed == 1);
+    alone.send(1, PacketKind::Open);
+    BOOST_TEST(opened == 2);
+    BOOST_TEST(closed == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SelectionOffTheTargetTracksTheBucket)
+{
+    // Guards against a full upstream's flow that is placed elsewhere without a record.
+    bool isFull = false;
+    EngineHooks hooks;
+    hooks.select = [&](SelectionRequest const& request) -> Selection {
+        BOOST_TEST(request.candidates.size() == 15u);
+        return { isFull ? 1u : 0u, Reason::LimitReached };
+    };
+    Alone alone { hooks };
+    alone.apply();
+    auto before = alone.send(1, PacketKind::Open);
+    isFull = true;
+    BOOST_TEST((alone.send(2, PacketKind::Open).reason == Reason::AwaitingAcknowledgement));
+    alone.pass(milliseconds { 200 });
+    auto after = alone.send(2, PacketKind::Open);
+    BOOST_REQUIRE(after.verdict == Verdict::Forward);
+    BOOST_TEST((alone.send(2, PacketKind::Data).upstream == after.upstream));
+    BOOST_TEST((alone.send(1, PacketKind::Data).upstream == before.upstream));
+    auto explanation
+        = alone.engine.explain(alone.packet(2, PacketKind::Data).service, alone.packet(2, PacketKind::Data).flow);
+    BOOST_REQUIRE(explanation);
+    BOOST_TEST(explanation->isTracked);
+    BOOST_TEST((explanation->record == after.upstream));
+    BOOST_TEST((explanation->decision.reason == Reason::Record));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsPassOn)
+{
+    // Guards against a refused open that leaves a record, so that its repetition would be forwarded.
+    EngineHooks hooks;
+    hooks.select = [](SelectionRequest const&) -> Selection { return { std::nullopt, Reason::LimitReached }; };
+    Alone alone { hooks };
+    alone.apply();
+    auto refused = alone.send(1, PacketKind::Open);
+    BOOST_TEST((refused.verdict == Verdict::Refuse));
+    BOOST_TEST((refused.reason == Reason::LimitReached));
+    BOOST_TEST(alone.engine.counters().records == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsAreBounded)
+{
+    // Guards against memory that grows without limit in a SYN flood.
+    Alone alone { {}, 100 };
+    alone.apply();
+    for (std::uint16_t port = 1; port <= 300; ++port)
+        alone.send(port, PacketKind::Open);
+    BOOST_TEST(alone.engine.counters().records == 100u);
+    BOOST_TEST((alone.send(301, PacketKind::Open).reason == Reason::Overloaded));
+    BOOST_TEST((alone.send(1, PacketKind::Data).verdict == Verdict::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(BucketsSettleAfterADrain)
+{
+    // Guards against buckets that stay tracked for ever, or that move their baseline while unknown flows live.
+    Alone alone;
+    Sites::service(alone.configuration, "register").idleTimeout = seconds { 10 };
+    alone.apply();
+    std::map<std::uint16_t, Core::UpstreamId> flows;
+    for (std::uint16_t port = 1; port <= 500; ++port)
+        flows[port] = alone.send(port, PacketKind::Open).upstream;
+    Sites::upstream(alone.configuration, "register", 2).state = Model::UpstreamState::Draining;
+    alone.apply();
+    alone.pass(milliseconds { 500 });
+    BOOST_TEST(alone.engine.counters().trackedBuckets > 0u);
+    for (int round = 0; round < 10; ++round) {
+        for (auto const& [port, upstream] : flows)
+            BOOST_REQUIRE(alone.send(port, PacketKind::Data).upstream == upstream);
+        alone.pass(seconds { 4 });
+    }
+    BOOST_TEST(alone.engine.counters().trackedBuckets > 0u);
+    for (auto const& [port, upstream] : flows)
+        alone.send(port, PacketKind::Close);
+    alone.pass(seconds { 80 });
+    BOOST_TEST(alone.engine.counters().trackedBuckets == 0u);
+    BOOST_TEST(alone.engine.counters().records == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(DrainDeadlineEndsFlows)
+{
+    // Guards against a draining upstream that keeps flows beyond its stated deadline.
+    Alone alone;
+    alone.apply();
+    auto opened = alone.send(1, PacketKind::Open);
+    auto& upstreams = Sites::service(alone.configuration, "register").upstreams;
+    auto& upstream = *std::ranges::find(upstreams, opened.upstream, &Model::Upstream::id);
+    upstream.state = Model::UpstreamState::Draining;
+    upstream.drainDeadline = seconds { 20 };
+    alone.apply();
+    alone.pass(seconds { 19 });
+    BOOST_TEST((alone.send(1, PacketKind::Data).verdict == Verdict::Forward));
+    alone.pass(seconds { 3 });
+    BOOST_TEST((alone.send(1, PacketKind::Data).verdict == Verdict::Reset));
+}
+
+BOOST_AUTO_TEST_CASE(PauseDropsUntilSynchronised)
+{
+    // Guards against a process that wakes with an old view and forwards what waited in its sockets.
+    Fleet fleet { { .seed = 3 } };
+    auto configuration = Sites::accra();
+    fleet.start(Sites::commit(configuration));
+    Traffic traffic { fleet, {}, { Sites::service(configuration, "register").id } };
+    traffic.run(seconds { 2 });
+    fleet.advance(seconds { 3 });
+    fleet.pause(0, seconds { 5 }, false);
+    auto& flow = traffic.flows().front();
+    fleet.sendTo(0, flow, PacketKind::Data);
+    auto forwarded = fleet.model().count(Verdict::Forward);
+    fleet.advance(milliseconds { 4999 });
+    auto dropped = fleet.model().count(Reason::NotSynchronised);
+    fleet.advance(milliseconds { 2 });
+    BOOST_TEST(fleet.model().count(Reason::NotSynchronised) > dropped);
+    BOOST_TEST(fleet.model().count(Verdict::Forward) >= forwarded);
+    fleet.advance(seconds { 3 });
+    BOOST_TEST(fleet.balancers()[0].method->engine()->synchronised());
+}
+
+BOOST_AUTO_TEST_CASE(ActiveUdpFlowsStay)
+{
+    // Guards against UDP flows, which have no opening packet, that move when their upstream drains.
+    Fleet fleet { { .seed = 4 } };
+    auto configuration = Sites::accra();
+    Sites::addService(configuration, "datagrams", 5, 8, 4, Core::Protocol::Udp);
+    fleet.start(Sites::commit(configuration));
+    Traffic traffic { fleet, { .packetInterval = milliseconds { 300 } },
+        { Sites::service(configuration, "datagrams").id } };
+    traffic.run(seconds { 40 });
+    fleet.advance(seconds { 10 });
+    Sites::upstream(configuration, "datagrams", 2).state = Model::UpstreamState::Draining;
+    fleet.spread(Sites::commit(configuration), seconds { 12 });
+    fleet.advance(seconds { 50 });
+    BOOST_TEST(fleet.model().brokenFlows() == 0u);
+    for (auto const& violation : fleet.model().violations())
+        BOOST_TEST_MESSAGE(violation);
+}
+
+BOOST_AUTO_TEST_CASE(MessagesFitADatagram)
+{
+    // Guards against control messages that need IP fragments: a join and a zone out send the largest ones.
+    std::size_t largest = 0;
+    std::map<Core::VmId, Engine*> engines;
+    Core::ManualClock clock;
+    MemberView view;
+    std::vector<std::unique_ptr<Engine>> owned;
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        Core::VmId vm { i << 40 };
+        view.members.push_back({ vm, Core::Incarnation { i } });
+        owned.push_back(std::make_unique<Engine>(clock, EngineOptions { .self = vm }, EngineHooks {}));
+        engines[vm] = owned.back().get();
+    }
+    auto configuration = Sites::accra();
+    auto pass = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            std::vector<std::pair<Core::VmId, OutgoingMessage>> messages;
+            for (auto& [vm, engine] : engines) {
+                for (auto& outgoing : engine->tick())
+                    messages.emplace_back(vm, std::move(outgoing));
+            }
+            clock.advance(milliseconds { 50 });
+            for (auto const& [sender, outgoing] : messages) {
+                largest = std::max(largest, Harness::encodedSize(outgoing.message));
+                engines.at(outgoing.receiver)->receive(sender, outgoing.message);
+            }
+        }
+    };
+    for (auto& [vm, engine] : engines) {
+        engine->applyMembers(view);
+        engine->applyConfiguration(Sites::commit(configuration));
+    }
+    pass(100);
+    Sites::setZone(configuration, 1, Model::ZoneState::Out);
+    for (std::size_t index : { 0, 2, 3, 6 })
+        Sites::removeUpstream(configuration, "register", index);
+    auto next = Sites::commit(configuration);
+    for (auto& [vm, engine] : engines)
+        engine->applyConfiguration(next);
+    pass(100);
+    // The envelope takes up to 80 of the 1,200 bytes.
+    BOOST_TEST(largest > 200u);
+    BOOST_TEST(largest <= 1120u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
