--- a/Benchmarks/Harness/Fleet.cpp
+++ b/Benchmarks/Harness/Fleet.cpp
@@ -85,7 +85,7 @@
     return view;
 }
 
-void Fleet::boot(std::size_t index, ConfigurationPointer configuration)
+void Fleet::boot(std::size_t index, ConfigurationPointer const& configuration)
 {
     auto& balancer = m_balancers[index];
     balancer.incarnation = Core::Incarnation { ++m_incarnation };
--- a/Benchmarks/Harness/Fleet.h
+++ b/Benchmarks/Harness/Fleet.h
@@ -57,7 +57,7 @@
 
     // Changes. Each balancer learns at its own moment within the delay.
     void start(ConfigurationPointer);
-    void spread(ConfigurationPointer, std::chrono::nanoseconds maximumDelay);
+    void spread(ConfigurationPointer const&, std::chrono::nanoseconds maximumDelay);
     void learn(std::size_t balancer, ConfigurationPointer);
     void spreadMembers(std::chrono::nanoseconds maximumDelay);
     std::size_t join();
