--- a/Benchmarks/Harness/Fleet.cpp
+++ b/Benchmarks/Harness/Fleet.cpp
@@ -286,7 +286,8 @@
         if (chance(m_options.loss))
             continue;
         // A duplicate may be late.
-        auto delay = networkDelay() + (i > 0 ? upTo(std::chrono::seconds { 1 }) : std::chrono::nanoseconds { 0 });
+        auto delay = networkDelay() + upTo(m_options.extraControlDelay)
+            + (i > 0 ? upTo(std::chrono::seconds { 1 }) : std::chrono::nanoseconds { 0 });
         at(delay, [this, from, to, message = outgoing.message] {
             auto& receiver = m_balancers[to];
             if (!receiver.isAlive || receiver.cutFrom.contains(from))
--- a/Benchmarks/Harness/Fleet.h
+++ b/Benchmarks/Harness/Fleet.h
@@ -18,6 +18,8 @@
     /// Of a control message or a packet between two balancers.
     std::chrono::microseconds minimumDelay { 200 };
     std::chrono::microseconds maximumDelay { 3000 };
+    /// Added to the delay of control messages only, which also reorders them.
+    std::chrono::microseconds extraControlDelay { 0 };
     double loss { 0 };
     double duplicates { 0 };
     /// Packets between balancers take effect at once and in order; faster, for benchmarks.
--- a/Tests/LibPlacement/TestScenes.cpp
+++ b/Tests/LibPlacement/TestScenes.cpp
@@ -49,6 +49,14 @@
         return options;
     }
 
+    /// A packet often overtakes the notice that its bucket is tracked.
+    FleetOptions slowControl()
+    {
+        FleetOptions options;
+        options.extraControlDelay = milliseconds { 600 };
+        return options;
+    }
+
     std::vector<Scene> scenes()
     {
         auto const refuse = Model::PartitionPolicy::Refuse;
@@ -61,6 +69,25 @@
                 } },
             { "upstream_drained", [](Stage const& s) { s.drain(3); } },
             { "upstream_drained_lossy", [](Stage const& s) { s.drain(3); }, lossy() },
+            { "upstream_drained_slow_control", [](Stage const& s) { s.drain(3); }, slowControl() },
+            { "zone_out_slow_control",
+                [](Stage const& s) {
+                    Sites::setZone(s.configuration, 1, Model::ZoneState::Out);
+                    s.spread();
+                },
+                slowControl() },
+            { "join_during_drain_slow_control",
+                [](Stage const& s) {
+                    s.drain(3);
+                    s.fleet.at(seconds { 4 }, [s] { s.fleet.join(); });
+                },
+                slowControl() },
+            { "leave_during_drain_slow_control",
+                [](Stage const& s) {
+                    s.drain(3);
+                    s.fleet.at(seconds { 4 }, [s] { s.fleet.leave(1); });
+                },
+                slowControl() },
             { "upstream_drained_and_back",
                 [](Stage const& s) {
                     s.drain(3);
