--- a/Benchmarks/Harness/Fleet.cpp
+++ b/Benchmarks/Harness/Fleet.cpp
@@ -85,7 +85,7 @@
     return view;
 }
 
-void Fleet::boot(std::size_t index, ConfigurationPointer configuration)
+void Fleet::boot(std::size_t index, ConfigurationPointer const& configuration)
 {
     auto& balancer = m_balancers[index];
     balancer.incarnation = Core::Incarnation { ++m_incarnation };
@@ -97,7 +97,7 @@
     balancer.knowledge = {};
     balancer.method = m_options.method(m_clock, { .self = balancer.vm, .hashKey = 77 }, m_options.hooks);
     balancer.method->applyMembers(viewFor(index));
-    learn(index, std::move(configuration));
+    learn(index, configuration);
     poll(index, balancer.generation, 0);
 }
 
@@ -133,7 +133,7 @@
     balancer.method->applyConfiguration(std::move(configuration));
 }
 
-void Fleet::spread(ConfigurationPointer configuration, std::chrono::nanoseconds maximumDelay)
+void Fleet::spread(ConfigurationPointer const& configuration, std::chrono::nanoseconds maximumDelay)
 {
     m_configuration = configuration;
     m_model.addConfiguration(*configuration);
@@ -286,7 +286,8 @@
         if (chance(m_options.loss))
             continue;
         // A duplicate may be late.
-        auto delay = networkDelay() + (i > 0 ? upTo(std::chrono::seconds { 1 }) : std::chrono::nanoseconds { 0 });
+        auto delay = networkDelay() + upTo(m_options.extraControlDelay)
+            + (i > 0 ? upTo(std::chrono::seconds { 1 }) : std::chrono::nanoseconds { 0 });
         at(delay, [this, from, to, message = outgoing.message] {
             auto& receiver = m_balancers[to];
             if (!receiver.isAlive || receiver.cutFrom.contains(from))
--- a/Benchmarks/Harness/Fleet.h
+++ b/Benchmarks/Harness/Fleet.h
@@ -18,6 +18,8 @@
     /// Of a control message or a packet between two balancers.
     std::chrono::microseconds minimumDelay { 200 };
     std::chrono::microseconds maximumDelay { 3000 };
+    /// Added to the delay of control messages only, which also reorders them.
+    std::chrono::microseconds extraControlDelay { 0 };
     double loss { 0 };
     double duplicates { 0 };
     /// Packets between balancers take effect at once and in order; faster, for benchmarks.
@@ -57,7 +59,7 @@
 
     // Changes. Each balancer learns at its own moment within the delay.
     void start(ConfigurationPointer);
-    void spread(ConfigurationPointer, std::chrono::nanoseconds maximumDelay);
+    void spread(ConfigurationPointer const&, std::chrono::nanoseconds maximumDelay);
     void learn(std::size_t balancer, ConfigurationPointer);
     void spreadMembers(std::chrono::nanoseconds maximumDelay);
     std::size_t join();
@@ -90,7 +92,7 @@
         }
     };
 
-    void boot(std::size_t balancer, ConfigurationPointer);
+    void boot(std::size_t balancer, ConfigurationPointer const&);
     Placement::MemberView viewFor(std::size_t balancer) const;
     void poll(std::size_t balancer, std::uint64_t generation, std::uint64_t round);
     void deliver(std::size_t from, Placement::OutgoingMessage const&);
