LibLoad: Test that counts without confirmation open nothing

Ignoring the confirmations left every test green, because unknown counts of the peers had the same effect. The new case feeds a new balancer counts from a peer that doesn't count it yet.

--- a/Tests/LibLoad/TestController.cpp
+++ b/Tests/LibLoad/TestController.cpp
@@ -2,6 +2,7 @@
 #include <LibLoad/DrainSchedule.h>
 #include <LibLoad/FlowCount.h>
 #include <LibLoad/Load.h>
+#include <LibLoad/OpenerSet.h>
 #include <LibLoad/OverloadGuard.h>
 #include <LibLoad/RetryBudget.h>
 
@@ -153,6 +154,43 @@
     BOOST_TEST((Load::refusalAdvice(overloaded.refusal) == Load::RefusalAdvice::RetryLater));
 }
 
+BOOST_AUTO_TEST_CASE(UnconfirmedBalancerRefusesForNow)
+{
+    // Guards against a new balancer that opens flows while its peers publish counts but don't count it yet.
+    Alone alone;
+    Core::VmId peer { 2 };
+    Core::Incarnation const incarnation { 1 };
+    Load::LoadController added { alone.clock, { .self = Core::VmId { 3 }, .incarnation = incarnation } };
+    added.applyConfiguration(std::make_shared<Model::Configuration const>(alone.configuration));
+    added.applyMembers({ { peer, Load::MemberStatus::Alive, incarnation } });
+    auto hear = [&](std::vector<Load::OpenerId> const& openers, std::int64_t order) {
+        Messages::UpstreamCounts counts;
+        counts.__set_incarnation(1);
+        counts.__set_order(order);
+        std::vector<std::int64_t> ids;
+        for (auto id : openers)
+            ids.push_back(static_cast<std::int64_t>(id.value()));
+        counts.__set_openers(ids);
+        for (auto const& upstream : alone.service().upstreams) {
+            Messages::UpstreamCount count;
+            count.upstream = static_cast<std::int64_t>(upstream.id.value());
+            counts.counts.push_back(count);
+        }
+        Messages::LoadMessage message;
+        message.__set_upstreamCounts(counts);
+        added.receive(peer, message);
+    };
+    alone.select();
+    auto peerId = Load::openerId(peer, incarnation);
+    hear({ peerId }, 1);
+    auto refused = added.select({ alone.service(), alone.candidates });
+    BOOST_TEST(!refused.index);
+    BOOST_TEST((Load::refusalAdvice(refused.refusal) == Load::RefusalAdvice::RetryLater));
+    hear({ peerId, Load::openerId(Core::VmId { 3 }, incarnation) }, 2);
+    BOOST_TEST(added.isReady());
+    BOOST_TEST(added.select({ alone.service(), alone.candidates }).index.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(RepeatsAreATenthOfTheOpens)
 {
     // Guards against callers whose repeats multiply an overload.
