--- a/Benchmarks/HarnessLoad/FakeUpstream.cpp
+++ b/Benchmarks/HarnessLoad/FakeUpstream.cpp
@@ -1,6 +1,7 @@
 #include <HarnessLoad/FakeUpstream.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Chicorytally::Benchmarks {
 
@@ -9,7 +10,7 @@
     m_isDead = false;
     ++m_generation;
     m_startedAt = now;
-    m_busy = 0;
+    setBusy(0, now);
     connections = 0;
     m_waiting.clear();
     m_samples.clear();
@@ -20,19 +21,32 @@
     return std::clamp(0.1 + 0.9 * ((now - m_startedAt) / WarmUpTime), 0.1, 1.0);
 }
 
+void FakeUpstream::setBusy(std::uint32_t busy, Seconds now)
+{
+    m_busySeconds += m_busy * (now - m_busySince).count();
+    m_busySince = now;
+    m_busy = busy;
+}
+
+double FakeUpstream::takeBusySeconds(Seconds now)
+{
+    setBusy(m_busy, now);
+    return std::exchange(m_busySeconds, 0);
+}
+
 std::optional<Seconds> FakeUpstream::arrive(Request const& request, Seconds now)
 {
     if (m_busy >= m_model->slots) {
         m_waiting.push_back(request);
         return std::nullopt;
     }
-    ++m_busy;
+    setBusy(m_busy + 1, now);
     return now + request.work / speed(now);
 }
 
 std::optional<FakeUpstream::Started> FakeUpstream::finish(Seconds now)
 {
-    --m_busy;
+    setBusy(m_busy - 1, now);
     if (m_waiting.empty())
         return std::nullopt;
     auto request = m_waiting.front();
--- a/Benchmarks/HarnessLoad/FakeUpstream.h
+++ b/Benchmarks/HarnessLoad/FakeUpstream.h
@@ -25,7 +25,7 @@
     static constexpr Seconds WarmUpTime { 20 };
     static constexpr Seconds ReportLag { 1 };
     static constexpr std::size_t ColdQueue = 50;
-    static constexpr Seconds MeanServiceTime { 0.05 };
+    static constexpr Seconds MeanServiceTime { 0.03 };
 
     FakeUpstream(Model::Upstream const& model, ReportKind kind)
         : m_model(&model)
@@ -62,7 +62,8 @@
     std::optional<Load::UpstreamReport> report(Seconds now);
 
     std::uint32_t connections { 0 };
-    std::uint32_t busySlots() const { return m_busy; }
+    /// Slot seconds used since the last call. Samples would add their own noise to the balancers' imbalance.
+    double takeBusySeconds(Seconds now);
 
 private:
     struct Sample {
@@ -76,7 +77,11 @@
     bool m_isDead { false };
     std::uint32_t m_generation { 1 };
     Seconds m_startedAt { -1000 };
+    void setBusy(std::uint32_t, Seconds now);
+
     std::uint32_t m_busy { 0 };
+    double m_busySeconds { 0 };
+    Seconds m_busySince { 0 };
     std::deque<Request> m_waiting;
     std::deque<Sample> m_samples;
 };
--- a/Benchmarks/HarnessLoad/Traffic.cpp
+++ b/Benchmarks/HarnessLoad/Traffic.cpp
@@ -156,12 +156,9 @@
 
 void Traffic::sample()
 {
-    ++m_samples;
     for (auto& service : m_services) {
-        for (auto& upstream : service.upstreams) {
+        for (auto& upstream : service.upstreams)
             upstream.connectionSum += upstream.truth.connections;
-            upstream.busySum += upstream.truth.busySlots();
-        }
     }
 }
 
@@ -180,11 +177,12 @@
         double greatestConnections = 0;
         double greatestBusy = 0;
         for (auto& upstream : service.upstreams) {
+            auto used = upstream.truth.takeBusySeconds(m_now);
             connections += upstream.connectionSum;
-            busy += upstream.busySum;
+            busy += used;
             greatestConnections = std::max(greatestConnections, upstream.connectionSum);
-            greatestBusy = std::max(greatestBusy, upstream.busySum);
-            upstream.connectionSum = upstream.busySum = 0;
+            greatestBusy = std::max(greatestBusy, used);
+            upstream.connectionSum = 0;
         }
         auto count = static_cast<double>(service.upstreams.size());
         if (connections > 0)
@@ -193,7 +191,6 @@
         if (busy > 0)
             m_figures.slotImbalance = std::max(m_figures.slotImbalance, greatestBusy * count / busy);
     }
-    m_samples = 0;
 }
 
 Figures Traffic::takeFigures()
--- a/Benchmarks/HarnessLoad/Traffic.h
+++ b/Benchmarks/HarnessLoad/Traffic.h
@@ -120,7 +120,6 @@
         Seconds lastOpen { -1 };
         std::uint64_t opens { 0 };
         double connectionSum { 0 };
-        double busySum { 0 };
     };
 
     struct ServiceEntry {
@@ -176,7 +175,6 @@
     std::uint64_t m_secondBad { 0 };
     std::uint64_t m_secondAll { 0 };
     int m_ticks { 0 };
-    int m_samples { 0 };
 };
 
 }
--- a/Tests/LibLoad/TestController.cpp
+++ b/Tests/LibLoad/TestController.cpp
@@ -40,7 +40,8 @@
     {
         std::vector<Core::UpstreamId> result;
         for (int i = 0; i < 200; ++i) {
-            std::ranges::rotate(service().upstreams, service().upstreams.begin() + 1);
+            auto& upstreams = service().upstreams;
+            std::rotate(upstreams.begin(), upstreams.begin() + 1, upstreams.end());
             if (auto selection = select(); selection.index)
                 result.push_back(candidates[*selection.index]->id);
         }
@@ -168,6 +169,7 @@
         counts.__set_incarnation(1);
         counts.__set_order(order);
         std::vector<std::int64_t> ids;
+        ids.reserve(openers.size());
         for (auto id : openers)
             ids.push_back(static_cast<std::int64_t>(id.value()));
         counts.__set_openers(ids);
--- a/Tests/LibLoad/TestLimits.cpp
+++ b/Tests/LibLoad/TestLimits.cpp
@@ -304,6 +304,7 @@
         counts.__set_incarnation(1);
         counts.__set_order(order);
         std::vector<std::int64_t> ids;
+        ids.reserve(openers.size());
         for (auto id : openers)
             ids.push_back(static_cast<std::int64_t>(id.value()));
         counts.__set_openers(ids);
