--- a/Libraries/LibLoad/LoadTypes.h
+++ b/Libraries/LibLoad/LoadTypes.h
@@ -26,7 +26,8 @@
 struct LoadMember {
     Core::VmId vm;
     MemberStatus status { MemberStatus::Alive };
-    /// A greater incarnation is another process without the counts of the earlier one.
+    /// Lifetime of the process; 0: not known yet. A greater one is another process without the counts of the earlier
+    /// one, so a number that also grows when a living member refutes a suspicion must not be given here.
     Core::Incarnation incarnation;
 };
 
