--- a/Libraries/LibMembership/Detector.cpp
+++ b/Libraries/LibMembership/Detector.cpp
@@ -738,7 +738,7 @@
         request.__set_groupDigests(std::move(bytes));
     }
     Messages::MembershipMessage message;
-    message.__set_syncRequest(std::move(request));
+    message.__set_syncRequest(request);
     send(m_session->peer, m_session->endpoint, std::move(message));
 }
 
--- a/Libraries/LibMembership/ProbeOrder.cpp
+++ b/Libraries/LibMembership/ProbeOrder.cpp
@@ -4,7 +4,7 @@
 
 namespace Chicorytally::Membership {
 
-void ProbeOrder::assign(std::vector<Core::VmId> members)
+void ProbeOrder::assign(std::vector<Core::VmId> const& members)
 {
     m_order.clear();
     for (auto vm : members)
--- a/Libraries/LibMembership/ProbeOrder.h
+++ b/Libraries/LibMembership/ProbeOrder.h
@@ -19,7 +19,7 @@
     }
 
     /// Replaces the set; members that remain keep their place in the round.
-    void assign(std::vector<Core::VmId> members);
+    void assign(std::vector<Core::VmId> const& members);
     std::optional<Core::VmId> next();
     std::size_t size() const { return m_order.size(); }
 
--- a/Tests/LibDistribution/TestController.cpp
+++ b/Tests/LibDistribution/TestController.cpp
@@ -15,13 +15,13 @@
 
 BOOST_AUTO_TEST_SUITE(TestDistributionController)
 
-static VmId const s_peer { 2 };
+static VmId const PeerVm { 2 };
 
 struct Bench {
     explicit Bench(std::chrono::milliseconds peerWait = 0ms)
         : controller(clock, { .self = VmId { 1 }, .zone = Core::ZoneId { 1 }, .peerWait = peerWait }, {})
     {
-        controller.applyMembers({ { VmId { 1 }, Core::ZoneId { 1 } }, { s_peer, Core::ZoneId { 1 } } });
+        controller.applyMembers({ { VmId { 1 }, Core::ZoneId { 1 } }, { PeerVm, Core::ZoneId { 1 } } });
     }
 
     Core::ManualClock clock;
@@ -63,18 +63,18 @@
     delta.files = { file };
     Messages::DistributionMessage message;
     message.__set_delta(delta);
-    bench.controller.receive(s_peer, message);
+    bench.controller.receive(PeerVm, message);
     BOOST_TEST(bench.controller.counters().gaps == 1U);
     BOOST_TEST((bench.controller.revision() == Revision { 1 }));
     BOOST_TEST((bench.controller.files() == FileSet { { "a", "1" } }));
 
-    bench.controller.receive(s_peer, digestMessage(2, delta.toDigest));
+    bench.controller.receive(PeerVm, digestMessage(2, delta.toDigest));
     BOOST_TEST((requestedFrom(bench.controller.tick()) == 0));
     delta.fromRevision = 0;
     file.name = "b";
     delta.files.push_back(file);
     message.__set_delta(delta);
-    bench.controller.receive(s_peer, message);
+    bench.controller.receive(PeerVm, message);
     BOOST_TEST((bench.controller.files() == newer));
 }
 
@@ -88,7 +88,7 @@
     BOOST_TEST((bench.controller.files() == FileSet { { "a", "1" } }));
     BOOST_TEST(bench.controller.counters().conflicting == 1U);
     BOOST_TEST(bench.controller.counters().ignoredOlder == 1U);
-    bench.controller.receive(s_peer, digestMessage(4, 99));
+    bench.controller.receive(PeerVm, digestMessage(4, 99));
     BOOST_TEST(bench.controller.counters().conflicting == 2U);
     BOOST_TEST(!requestedFrom(bench.controller.tick()).has_value());
 }
@@ -104,16 +104,16 @@
         return false;
     } };
     Controller controller { clock, { .self = VmId { 1 }, .zone = Core::ZoneId { 1 }, .peerWait = 0ms }, hooks };
-    controller.applyMembers({ { VmId { 1 }, Core::ZoneId { 1 } }, { s_peer, Core::ZoneId { 1 } } });
+    controller.applyMembers({ { VmId { 1 }, Core::ZoneId { 1 } }, { PeerVm, Core::ZoneId { 1 } } });
     FileSet bad { { "a", "bad" } };
     for (int i = 0; i < 3; ++i)
         controller.offerPlatformCopy(Revision { 2 }, bad);
     BOOST_TEST(calls == 1);
     BOOST_TEST(controller.lastRefusal() == "line 3: unknown key");
-    controller.receive(s_peer, digestMessage(2, static_cast<std::int64_t>(digestOf(bad))));
+    controller.receive(PeerVm, digestMessage(2, static_cast<std::int64_t>(digestOf(bad))));
     BOOST_TEST(!requestedFrom(controller.tick()).has_value());
     // A peer's set of the same revision with other content is another set.
-    controller.receive(s_peer, digestMessage(2, 99));
+    controller.receive(PeerVm, digestMessage(2, 99));
     BOOST_TEST(requestedFrom(controller.tick()).has_value());
 }
 
@@ -123,7 +123,7 @@
     Bench bench { 3s };
     bench.controller.offerPlatformCopy(Revision { 4 }, { { "a", "1" } });
     BOOST_TEST(!bench.controller.revision().isValid());
-    bench.controller.receive(s_peer, digestMessage(3, 7));
+    bench.controller.receive(PeerVm, digestMessage(3, 7));
     BOOST_TEST(!bench.controller.tick().empty());
     BOOST_TEST((bench.controller.revision() == Revision { 4 }));
 }
@@ -152,7 +152,7 @@
             chunk.content = "\xff\xff\xff";
             Messages::DistributionMessage message;
             message.__set_copyChunk(chunk);
-            bench.controller.receive(s_peer, message);
+            bench.controller.receive(PeerVm, message);
             bench.controller.tick();
         }
     }
@@ -224,9 +224,9 @@
     Messages::DistributionMessage message;
     message.read(&reader);
     Bench bench;
-    bench.controller.receive(s_peer, message);
+    bench.controller.receive(PeerVm, message);
     BOOST_TEST((requestedFrom(bench.controller.tick()) == 0));
-    bench.controller.receive(s_peer, Messages::DistributionMessage {});
+    bench.controller.receive(PeerVm, Messages::DistributionMessage {});
     BOOST_TEST(!bench.controller.revision().isValid());
 }
 
--- a/Tests/LibDistribution/TestFleet.cpp
+++ b/Tests/LibDistribution/TestFleet.cpp
@@ -69,10 +69,10 @@
     }
 };
 
-static std::vector<Shape> const s_shapes { { 1, 1, 0, 200 }, { 4, 4, 0.2, 200 }, { 5, 3, 0, 20'000 },
+static std::vector<Shape> const Shapes { { 1, 1, 0, 200 }, { 4, 4, 0.2, 200 }, { 5, 3, 0, 20'000 },
     { 40, 2, 0.05, 200 }, { 90, 9, 0.05, 5000 } };
 
-BOOST_DATA_TEST_CASE(ChangeIsInForceEverywhereInTime, Data::make(s_shapes), shape)
+BOOST_DATA_TEST_CASE(ChangeIsInForceEverywhereInTime, Data::make(Shapes), shape)
 {
     // Guards against a member that a change doesn't reach, or reaches in part or too late.
     auto owner = runningFleet({ .nodes = shape.nodes, .zones = shape.zones, .seed = 21, .loss = shape.loss });
--- a/Tests/LibMembership/TestController.cpp
+++ b/Tests/LibMembership/TestController.cpp
@@ -8,9 +8,9 @@
 
 BOOST_AUTO_TEST_SUITE(TestMembershipController)
 
-static Core::Endpoint const s_seed { *Core::IpAddress::parse("10.0.0.2"), 700 };
-static Core::VmId const s_peer { 2 };
-static Core::Incarnation const s_peerIncarnation { 3 };
+static Core::Endpoint const SeedEndpoint { *Core::IpAddress::parse("10.0.0.2"), 700 };
+static Core::VmId const PeerVm { 2 };
+static Core::Incarnation const PeerIncarnation { 3 };
 
 static Membership::Options optionsOf()
 {
@@ -19,7 +19,7 @@
     options.zone = Core::ZoneId { 1 };
     options.endpoint = { *Core::IpAddress::parse("10.0.0.1"), 700 };
     options.incarnation = Core::Incarnation { 5 };
-    options.seeds = { s_seed };
+    options.seeds = { SeedEndpoint };
     return options;
 }
 
@@ -45,19 +45,19 @@
     return std::nullopt;
 }
 
-static void acknowledge(
-    Controller& controller, std::int64_t sequence, std::uint64_t confirmed, std::vector<Messages::MemberUpdate> updates)
+static void acknowledge(Controller& controller, std::int64_t sequence, std::uint64_t confirmed,
+    std::vector<Messages::MemberUpdate> const& updates)
 {
     Messages::Ack acknowledgement;
     acknowledgement.sequence = sequence;
     acknowledgement.__set_confirmedIncarnation(static_cast<std::int64_t>(confirmed));
-    acknowledgement.__set_updates(std::move(updates));
+    acknowledgement.__set_updates(updates);
     Messages::MembershipMessage message;
     message.__set_ack(acknowledgement);
-    controller.receive(s_peer, s_peerIncarnation, message, s_seed);
+    controller.receive(PeerVm, PeerIncarnation, message, SeedEndpoint);
 }
 
-static Messages::MemberUpdate alivePeer() { return updateOf(s_peer, s_peerIncarnation, Messages::MemberState::Alive); }
+static Messages::MemberUpdate alivePeer() { return updateOf(PeerVm, PeerIncarnation, Messages::MemberState::Alive); }
 
 BOOST_AUTO_TEST_CASE(OnlyAnAnswerAfterThePauseConfirms)
 {
--- a/Tests/LibMembership/TestFleet.cpp
+++ b/Tests/LibMembership/TestFleet.cpp
@@ -55,9 +55,9 @@
     }
 };
 
-static std::vector<Shape> const s_shapes { { 2, 1, 0 }, { 4, 4, 0 }, { 5, 3, 0.05 }, { 30, 3, 0 }, { 60, 9, 0.05 } };
+static std::vector<Shape> const Shapes { { 2, 1, 0 }, { 4, 4, 0 }, { 5, 3, 0.05 }, { 30, 3, 0 }, { 60, 9, 0.05 } };
 
-BOOST_DATA_TEST_CASE(CrashIsDetectedEverywhere, Data::make(s_shapes), shape)
+BOOST_DATA_TEST_CASE(CrashIsDetectedEverywhere, Data::make(Shapes), shape)
 {
     // Guards against a crashed member that stays in some member's list, also under loss, reordering and duplication.
     auto owner = convergedFleet({ .nodes = shape.nodes,
@@ -98,12 +98,12 @@
     friend std::ostream& operator<<(std::ostream& stream, Cut const& cut) { return stream << cut.name; }
 };
 
-static std::vector<Cut> const s_cuts {
+static std::vector<Cut> const Cuts {
     { "one way between two members", [](std::size_t from, std::size_t to) { return !(from == 0 && to == 1); } },
     { "both ways between two members", [](std::size_t from, std::size_t to) { return from + to != 1; } },
 };
 
-BOOST_DATA_TEST_CASE(CutBetweenTwoMembersIsBridged, Data::make(s_cuts), cut)
+BOOST_DATA_TEST_CASE(CutBetweenTwoMembersIsBridged, Data::make(Cuts), cut)
 {
     // Guards against a member that is suspected or declared dead because one other member can't reach it.
     auto owner = convergedFleet({ .nodes = 6, .zones = 2, .seed = 7 });
@@ -219,9 +219,9 @@
     }
 };
 
-static std::vector<Split> const s_splits { { 5, 3, 2 }, { 4, 4, 4 }, { 40, 4, 2 }, { 60, 6, 3 } };
+static std::vector<Split> const Splits { { 5, 3, 2 }, { 4, 4, 4 }, { 40, 4, 2 }, { 60, 6, 3 } };
 
-BOOST_DATA_TEST_CASE(PartitionGoesOnAndMerges, Data::make(s_splits), split)
+BOOST_DATA_TEST_CASE(PartitionGoesOnAndMerges, Data::make(Splits), split)
 {
     // Guards against parts that stay apart after the network has healed, and against a merge in which a member's own
     // side declares it dead because the other side had done so.
@@ -309,6 +309,7 @@
 static std::vector<Membership::PlatformVm> listOf(Fleet& fleet, std::vector<std::size_t> const& indices)
 {
     std::vector<Membership::PlatformVm> list;
+    list.reserve(indices.size());
     for (auto index : indices)
         list.push_back({ fleet.node(index).vm, fleet.node(index).endpoint, false });
     return list;
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -25,7 +25,7 @@
     return update;
 }
 
-static Core::TimePoint const s_start { std::chrono::hours { 1 } };
+static Core::TimePoint const StartTime { std::chrono::hours { 1 } };
 
 BOOST_AUTO_TEST_CASE(UpdatesNeverGoBack)
 {
@@ -42,7 +42,7 @@
             std::optional<Entry> before;
             if (auto const* entry = table.find(Core::VmId { 1 }))
                 before = *entry;
-            table.merge(update, s_start);
+            table.merge(update, StartTime);
             auto const& after = *table.find(Core::VmId { 1 });
             if (!before)
                 continue;
@@ -68,17 +68,17 @@
     MemberTable first;
     MemberTable second;
     for (std::uint64_t vm = 1; vm <= 50; ++vm) {
-        first.merge(updateOf(vm, 1, Messages::MemberState::Alive, 0), s_start);
-        second.merge(updateOf(51 - vm, 1, Messages::MemberState::Alive, 0), s_start);
+        first.merge(updateOf(vm, 1, Messages::MemberState::Alive, 0), StartTime);
+        second.merge(updateOf(51 - vm, 1, Messages::MemberState::Alive, 0), StartTime);
     }
     BOOST_TEST(first.groupDigests() == second.groupDigests());
-    first.merge(updateOf(3, 1, Messages::MemberState::Suspect, 0), s_start);
+    first.merge(updateOf(3, 1, Messages::MemberState::Suspect, 0), StartTime);
     BOOST_TEST(first.groupDigests() == second.groupDigests());
-    first.declareDead(Core::VmId { 3 }, s_start);
+    first.declareDead(Core::VmId { 3 }, StartTime);
     BOOST_TEST(first.groupDigests() != second.groupDigests());
     second.erase(Core::VmId { 3 });
     BOOST_TEST(first.groupDigests() == second.groupDigests());
-    second.merge(updateOf(4, 2, Messages::MemberState::Alive, 0), s_start);
+    second.merge(updateOf(4, 2, Messages::MemberState::Alive, 0), StartTime);
     BOOST_TEST(first.groupDigests() != second.groupDigests());
 }
 
