--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -56,10 +56,15 @@
     "bytes_per_track_acknowledgement": ("control", "bytes of its acknowledgement"),
     "bytes_per_health_result": ("control", "bytes of one upstream's health result"),
     "bytes_per_upstream_count": ("control", "bytes of one upstream's open count"),
-    "newcomer_bytes_of_all_300_nodes_38_upstreams": ("control", "bytes of all nodes for one newcomer among 300"),
-    "newcomer_bytes_of_all_100_nodes_38_upstreams": ("control", "bytes of all nodes for one newcomer among 100"),
-    "newcomer_knows_members_300_nodes_38_upstreams": ("control", "time (ms) until a newcomer knows 300 members"),
-    "newcomer_bytes_of_all_100_nodes_4000_upstreams": ("control", "the same among 100 with 4,000 upstreams"),
+    "newcomer_bytes_300_nodes_38_upstreams": ("control", "bytes that a newcomer among 300 receives and sends"),
+    "newcomer_bytes_100_nodes_38_upstreams": ("control", "the same among 100"),
+    "newcomer_bytes_100_nodes_4000_upstreams": ("control", "the same among 100 with 4,000 upstreams"),
+    "newcomer_has_configuration_100_nodes_4000_upstreams": ("control", "time (ms) until it has the configuration"),
+    "detection_everywhere_5_nodes_0_percent_loss": ("control", "time (ms) until a crash is seen everywhere, 5 nodes"),
+    "detection_everywhere_50_nodes_20_percent_loss": ("control", "the same, 50 nodes, 20% loss"),
+    "in_force_everywhere_600_nodes": ("control", "time (ms) until a change is in force on 600 nodes"),
+    "zone_loss_busiest_second_per_node_180_nodes": ("control", "bytes/s a node when a zone of 20 of 180 dies"),
+    "merge_busiest_second_per_node_100_nodes": ("control", "bytes/s a node when two halves of 100 merge"),
     "platform_reads_during_outage_270_nodes": ("control", "reads/s, 18 readers, platform down"),
     "tree_model_all_acknowledged_slowest_2100_members_5_percent_loss": ("control", "model of a tree, slowest (ms)"),
     "tree_model_messages_per_member_2100_members_5_percent_loss": ("control", "model of a tree, messages a member"),
@@ -119,11 +124,16 @@
 
 def member_table(f):
     """What membership and distribution cost every node at the design size."""
-    bytes_per_second = f["base_bytes_at_0_node"] + NODES * f["slope_bytes_per_node"]
-    messages = f["base_messages_at_0_node"] + NODES * f["slope_messages_per_node"]
-    processor = f["base_processor_at_0_node"] + NODES * f["slope_processor_per_node"]
-    configuration = UPSTREAMS * f["slope_memory_per_upstream"]
-    memory = f["base_memory_at_0_node"] + NODES * f["slope_memory_per_node"] + configuration
+    def line(quantity):
+        base, slope = f[f"base_{quantity}_at_0_node"], f[f"slope_{quantity}_per_node"]
+        # A falling line comes from the relays, whose share falls with the size of the zones. It has an end, so it is
+        # not extended.
+        return base + NODES * (slope if math.isnan(slope) else max(slope, 0.0))
+
+    bytes_per_second = line("bytes")
+    messages = line("messages")
+    processor = line("processor")
+    memory = line("memory") + UPSTREAMS * f["slope_memory_per_upstream"]
     rows = [
         ["bytes/s", f"{show(f['base_bytes_at_0_node'])} + {NODES} x {show(f['slope_bytes_per_node'])}",
          show(bytes_per_second, "B/s"), verdict(bytes_per_second, BYTES_BUDGET)],
@@ -134,8 +144,14 @@
         ["memory", f"{show(f['base_memory_at_0_node'])} + {NODES} x {show(f['slope_memory_per_node'])}"
          f" + {UPSTREAMS} x {show(f['slope_memory_per_upstream'])}",
          show(memory / 1e6, "MB"), verdict(memory, MEMORY_BUDGET)],
+        ["bytes/s in the busiest second after the loss of a zone", "measured, 20 of 180 nodes",
+         show(f["zone_loss_busiest_second_per_node_180_nodes"], "B/s"),
+         verdict(f["zone_loss_busiest_second_per_node_180_nodes"], BYTES_BUDGET)],
+        ["bytes/s in the busiest second after a partition", "measured, two halves of 100 nodes",
+         show(f["merge_busiest_second_per_node_100_nodes"], "B/s"),
+         verdict(f["merge_busiest_second_per_node_100_nodes"], BYTES_BUDGET)],
     ]
-    return "### Every node: membership and distribution\n\n" + table(
+    return "### Every node: membership and distribution\n\nA negative slope is taken as 0.\n\n" + table(
         ["quantity", "arithmetic (constant + size x slope)", "design size", "budget"], rows)
 
 
@@ -218,12 +234,15 @@
 def newcomer_table(f):
     size = UPSTREAMS * f["configuration_bytes_per_upstream"]
     region = size / REGIONS
-    per_member = (f["newcomer_bytes_of_all_300_nodes_38_upstreams"]
-                  - f["newcomer_bytes_of_all_100_nodes_38_upstreams"]) / 200
+    per_member = (f["newcomer_bytes_300_nodes_38_upstreams"]
+                  - f["newcomer_bytes_100_nodes_38_upstreams"]) / 200
     list_bytes = NODES * per_member
     restarts = RESTARTS_PER_DAY / DAY
     zone = NODES / ZONES
     rows = [
+        ["copy of 4,000 upstreams, measured", "benchmark, 100 members",
+         show(f["newcomer_has_configuration_100_nodes_4000_upstreams"] / 1000, "s") + ", "
+         + show(f["newcomer_bytes_100_nodes_4000_upstreams"] / 1e3, "KB")],
         ["copy of one region", f"{show(region / 1e6)} MB / 100 KB/s", show(region / 100_000, "s")],
         ["the same inside 5 KB/s", f"{show(region / 1e6)} MB / 5 KB/s", show(region / BYTES_BUDGET, "s")],
         ["list of members", f"{NODES} x {show(per_member)} B", show(list_bytes / 1e3, "KB")],
