--- a/Benchmarks/HarnessControl/Fleet.cpp
+++ b/Benchmarks/HarnessControl/Fleet.cpp
@@ -169,7 +169,7 @@
     auto& node = *m_nodes[index];
     for (auto& outgoing : measured(node, [&] { return node.membership->tick(); })) {
         Messages::PeerMessage message;
-        message.__set_membership(std::move(outgoing.message));
+        message.__set_membership(outgoing.message);
         send(index, outgoing.receiverEndpoint, std::move(message));
     }
     if (!node.distribution)
@@ -179,7 +179,7 @@
         if (!endpoint)
             continue;
         Messages::PeerMessage message;
-        message.__set_distribution(std::move(outgoing.message));
+        message.__set_distribution(outgoing.message);
         send(index, *endpoint, std::move(message));
     }
     if (node.distribution->shouldReadPlatform())
--- a/Libraries/LibDistribution/Distributor.cpp
+++ b/Libraries/LibDistribution/Distributor.cpp
@@ -359,7 +359,7 @@
     chunk.content = blob.bytes.substr(index * ChunkSize, ChunkSize);
     chunk.__set_fromRevision(toWire(blob.fromRevision.value()));
     Messages::DistributionMessage message;
-    message.__set_copyChunk(std::move(chunk));
+    message.__set_copyChunk(chunk);
     send(receiver, std::move(message));
 }
 
--- a/Libraries/LibMembership/Detector.cpp
+++ b/Libraries/LibMembership/Detector.cpp
@@ -41,17 +41,17 @@
 static constexpr std::chrono::milliseconds DisputedInterval { 100 };
 static constexpr std::size_t PushFanout { 3 };
 
-static Messages::MembershipMessage wrap(Messages::Ping ping)
+static Messages::MembershipMessage wrap(Messages::Ping const& ping)
 {
     Messages::MembershipMessage message;
-    message.__set_ping(std::move(ping));
+    message.__set_ping(ping);
     return message;
 }
 
-static Messages::MembershipMessage wrap(Messages::Ack acknowledgement)
+static Messages::MembershipMessage wrap(Messages::Ack const& acknowledgement)
 {
     Messages::MembershipMessage message;
-    message.__set_ack(std::move(acknowledgement));
+    message.__set_ack(acknowledgement);
     return message;
 }
 
@@ -272,8 +272,8 @@
         acknowledgement.__set_isReceiverUnknown(true);
     auto updates = updatesFor(sender, sender);
     if (!updates.empty())
-        acknowledgement.__set_updates(std::move(updates));
-    send(sender, from, wrap(std::move(acknowledgement)));
+        acknowledgement.__set_updates(updates);
+    send(sender, from, wrap(acknowledgement));
 }
 
 bool Detector::forwardAck(Core::VmId target, std::int64_t sequence)
@@ -290,8 +290,8 @@
     auto updates = updatesFor(relay.requester, target);
     if (auto const* entry = m_table.find(target); entry && entry->condition == Condition::Alive)
         updates.insert(updates.begin(), toUpdate(*entry));
-    acknowledgement.__set_updates(std::move(updates));
-    send(relay.requester, relay.requesterEndpoint, wrap(std::move(acknowledgement)));
+    acknowledgement.__set_updates(updates);
+    send(relay.requester, relay.requesterEndpoint, wrap(acknowledgement));
     return true;
 }
 
@@ -367,7 +367,7 @@
     if (entry != entries.end())
         reply.__set_nextAfterVm(toWire(std::prev(entry)->first.value()));
     Messages::MembershipMessage message;
-    message.__set_syncReply(std::move(reply));
+    message.__set_syncReply(reply);
     send(sender, from, std::move(message));
 }
 
@@ -432,8 +432,8 @@
         ping.__set_onBehalfOf(toWire(onBehalfOf->value()));
     auto updates = updatesFor(receiver, receiver);
     if (!updates.empty())
-        ping.__set_updates(std::move(updates));
-    send(receiver, endpoint, wrap(std::move(ping)));
+        ping.__set_updates(updates);
+    send(receiver, endpoint, wrap(ping));
 }
 
 std::int64_t Detector::sendPing(Core::VmId receiver, Core::Endpoint const& endpoint)
@@ -595,9 +595,9 @@
         request.target = toWire(probe.target.value());
         auto updates = updatesFor(helper, probe.target);
         if (!updates.empty())
-            request.__set_updates(std::move(updates));
+            request.__set_updates(updates);
         Messages::MembershipMessage message;
-        message.__set_pingRequest(std::move(request));
+        message.__set_pingRequest(request);
         send(helper, m_table.find(helper)->endpoint, std::move(message));
     }
 }
@@ -735,7 +735,7 @@
             for (std::size_t i = 0; i < sizeof(group); ++i)
                 bytes.push_back(static_cast<char>(group >> (8 * i)));
         }
-        request.__set_groupDigests(std::move(bytes));
+        request.__set_groupDigests(bytes);
     }
     Messages::MembershipMessage message;
     message.__set_syncRequest(request);
