LibConfig: Hide the HTTP client behind a private type

Cause: clang-tidy refuses a declaration in the namespace of cpp-httplib, and with it all files that include it. Change: PlatformClient holds a nested Connection instead; a table row reserves its cells.

--- a/Libraries/LibConfig/PlatformClient.cpp
+++ b/Libraries/LibConfig/PlatformClient.cpp
@@ -14,27 +14,32 @@
     std::string revision;
 };
 
+struct PlatformClient::Connection {
+    httplib::Client client;
+};
+
 PlatformClient::PlatformClient(Core::Endpoint const& endpoint, PlatformTimeouts timeouts)
     : m_timeouts(timeouts)
-    , m_client(std::make_unique<httplib::Client>(endpoint.address.toString(), endpoint.port))
+    , m_connection(new Connection { httplib::Client { endpoint.address.toString(), endpoint.port } })
 {
-    m_client->set_keep_alive(true);
-    m_client->set_tcp_nodelay(true);
-    m_client->set_connection_timeout(timeouts.connect);
-    m_client->set_write_timeout(timeouts.write);
+    auto& client = m_connection->client;
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(timeouts.connect);
+    client.set_write_timeout(timeouts.write);
 }
 
 PlatformClient::~PlatformClient() = default;
 
-void PlatformClient::cancel() { m_client->stop(); }
+void PlatformClient::cancel() { m_connection->client.stop(); }
 
 std::optional<PlatformClient::Answer> PlatformClient::get(
     std::string const& path, std::chrono::milliseconds readTimeout, std::string& error)
 {
-    m_client->set_read_timeout(readTimeout);
+    m_connection->client.set_read_timeout(readTimeout);
     Answer answer;
     bool isTooLong = false;
-    auto result = m_client->Get(path, [&](char const* data, std::size_t length) {
+    auto result = m_connection->client.Get(path, [&](char const* data, std::size_t length) {
         isTooLong = answer.body.size() + length > MaxAnswerSize;
         if (!isTooLong)
             answer.body.append(data, length);
--- a/Libraries/LibConfig/PlatformClient.h
+++ b/Libraries/LibConfig/PlatformClient.h
@@ -7,10 +7,6 @@
 #include <optional>
 #include <string>
 
-namespace httplib {
-class Client;
-}
-
 namespace Chicorytally::Config {
 
 struct PlatformTimeouts {
@@ -38,11 +34,12 @@
 
 private:
     struct Answer;
+    struct Connection;
 
     std::optional<Answer> get(std::string const& path, std::chrono::milliseconds readTimeout, std::string& error);
 
     PlatformTimeouts m_timeouts;
-    std::unique_ptr<httplib::Client> m_client;
+    std::unique_ptr<Connection> m_connection;
 };
 
 }
--- a/Utilities/chicorytally/JsonOutput.cpp
+++ b/Utilities/chicorytally/JsonOutput.cpp
@@ -59,6 +59,7 @@
     TextTable table { columns };
     for (auto const& row : rows) {
         std::vector<std::string> cells;
+        cells.reserve(columns.size());
         for (auto const& column : columns)
             cells.push_back(row.contains(column) ? cellText(row[column]) : std::string {});
         table.add(std::move(cells));
