LibConfig: Refuse files that block a reader and survive closed connections

Cause: a named pipe with the extension .toml would have blocked the reader, and a write to a connection that the platform closed raises SIGPIPE, which ends the process. Change: only regular files are opened; the platform's reader thread blocks SIGPIPE. Result: TestLibConfig passes with a named pipe in the folder; the signal has no test of its own, because the stand-in server in the test process ignores it.

--- a/Libraries/LibConfig/FolderReader.cpp
+++ b/Libraries/LibConfig/FolderReader.cpp
@@ -52,6 +52,11 @@
         m_faults.push_back({ name, 0, 0, "can't read the file: " + error.message(), ReadRemedy });
         return std::nullopt;
     }
+    // Opening a named pipe would wait for a writer.
+    if (!std::filesystem::is_regular_file(path, error)) {
+        m_faults.push_back({ name, 0, 0, "the file is no regular file", "remove it, or give it another extension" });
+        return std::nullopt;
+    }
     std::ifstream stream { path, std::ios::binary };
     std::ostringstream content;
     // An empty file sets the fail bit of the target without being an error.
--- a/Libraries/LibConfig/PlatformReader.cpp
+++ b/Libraries/LibConfig/PlatformReader.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/time/time.h>
 
+#include <csignal>
+
 namespace Chicorytally::Config {
 
 // How often a stop cancels the read again: a read that is still connecting can't be cancelled.
@@ -75,8 +77,19 @@
     return false;
 }
 
+// A write to a connection that the platform has closed must fail, not end the process: cpp-httplib writes without
+// MSG_NOSIGNAL.
+static void blockPipeSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void PlatformReader::run(Read const& read)
 {
+    blockPipeSignal();
     while (waitForTurn()) {
         bool isGood = read(m_client);
         absl::MutexLock lock { &m_lock };
--- a/Tests/LibConfig/TestParser.cpp
+++ b/Tests/LibConfig/TestParser.cpp
@@ -2,6 +2,7 @@
 #include "Property.h"
 
 #include <map>
+#include <sys/stat.h>
 
 using namespace Chicorytally;
 using Chicorytally::Tests::checkProperty;
@@ -87,8 +88,8 @@
 
 BOOST_AUTO_TEST_CASE(FolderReaderTakesOnlyVisibleTomlFiles)
 {
-    // Guards against an editor's backup file that changes the configuration, and against a missing folder that looks
-    // like an empty one.
+    // Guards against an editor's backup file that changes the configuration, a named pipe that blocks the reader, and
+    // a missing folder that looks like an empty one.
     Tests::TemporaryFolder folder;
     folder.write("a.toml", goodText());
     folder.write(".a.toml", "broken [");
@@ -100,6 +101,9 @@
     BOOST_REQUIRE(files);
     BOOST_REQUIRE_EQUAL(files->size(), 2u);
     BOOST_TEST((files->front() == Config::SourceFile { "a.toml", goodText() }));
+    BOOST_REQUIRE(mkfifo((folder.path() / "pipe.toml").c_str(), 0600) == 0);
+    BOOST_TEST(!reader.readFiles(folder.path()));
+    BOOST_TEST(reader.faults().front().file == "pipe.toml");
     BOOST_TEST(!reader.readFiles(folder.path() / "missing"));
     BOOST_TEST(reader.faults().size() == 1u);
 }
