StandIns: Report the flow of each failed open and broken flow

The table of the example run says that flows broke or never opened, but not which, so that /explain could not be asked about them. The caller writes one line per such flow to standard error, in the form that /explain takes, and the table shows the p99 of opens.

--- a/Meta/example_run.py
+++ b/Meta/example_run.py
@@ -74,6 +74,7 @@
     broken_on: Counter = dataclasses.field(default_factory=Counter)
     p50_ms: float = 0
     p99_ms: float = 0
+    open_p99_ms: float = 0
 
     def add_line(self, line: str) -> None:
         values = dict(part.split("=", 1) for part in line.split())
@@ -86,6 +87,7 @@
         # Of several callers the slowest counts.
         self.p50_ms = max(self.p50_ms, float(values["p50_ms"]))
         self.p99_ms = max(self.p99_ms, float(values["p99_ms"]))
+        self.open_p99_ms = max(self.open_p99_ms, float(values["open_p99_ms"]))
 
 
 class Deployment:
@@ -375,7 +377,7 @@
 
 
 def print_table(rows: list[Row]) -> None:
-    head = ("site", "scene", "flows", "answers", "broken", "refused", "unopened", "max/mean", "p50 ms", "p99 ms", "")
+    head = ("site", "scene", "flows", "answers", "broken", "refused", "unopened", "max/mean", "p50 ms", "p99 ms", "open p99", "")
     lines = [head]
     for row in rows:
         counts = row.figures.counts
@@ -391,6 +393,7 @@
                 f"{row.balance:.2f}",
                 f"{row.figures.p50_ms:.1f}",
                 f"{row.figures.p99_ms:.1f}",
+                f"{row.figures.open_p99_ms:.1f}",
                 "; ".join(row.faults) or "ok",
             )
         )
--- a/Tests/StandIns/Caller.cpp
+++ b/Tests/StandIns/Caller.cpp
@@ -188,15 +188,25 @@
 
     void giveUp(Flow& flow)
     {
-        if (flow.state == State::Opening)
+        if (flow.state == State::Opening) {
             ++m_figures.failedOpens;
-        else
+            report("open_failed", flow);
+        } else {
             countBroken(flow);
+        }
         pause(flow);
     }
 
+    // In the form that /explain of a balancer takes.
+    static void report(std::string_view event, Flow const& flow)
+    {
+        std::cerr << "event=" << event << " flow=tcp," << flow.key.source.toString() << ","
+                  << flow.key.destination.toString() << " upstream=" << flow.upstream << std::endl;
+    }
+
     void countBroken(Flow const& flow)
     {
+        report("flow_broken", flow);
         ++m_figures.broken;
         ++m_figures.brokenOn[flow.upstream];
     }
