Benchmarks: Size the present placement messages in the control benchmark

Cause: the benchmark still built messages that the placement library has replaced.

Change: sizes of bucket notices, record copies and acknowledgements are taken from the present messages; the capacity script uses their names.

--- a/Benchmarks/Control/Wire.cpp
+++ b/Benchmarks/Control/Wire.cpp
@@ -22,50 +22,65 @@
 
 static std::int64_t idOf(std::size_t index) { return static_cast<std::int64_t>(Core::hashPair(index, 1)); }
 
+static double sizeOf(Messages::PlacementMessage message)
+{
+    Messages::PeerMessage peerMessage;
+    peerMessage.__set_placement(std::move(message));
+    return sizeOf(std::move(peerMessage));
+}
+
+static Messages::UpstreamReference upstreamReference()
+{
+    Messages::UpstreamReference reference;
+    reference.id = idOf(7);
+    return reference;
+}
+
 static double recordBatchSize(std::size_t records)
 {
     Messages::RecordBatch batch;
     batch.serviceId = idOf(1);
     batch.sequence = 100'000;
+    batch.upstreams.push_back(upstreamReference());
     for (std::size_t i = 0; i < records; ++i) {
         Messages::FlowRecordCopy record;
-        record.flowLow = idOf(2 * i);
-        record.flowHigh = idOf(2 * i + 1);
-        record.upstream = idOf(7);
-        record.__set_revision(1'700'000);
+        record.flow = idOf(i);
+        record.bucket = static_cast<std::int32_t>(i * 30);
+        record.upstream = 0;
         record.__set_ageMilliseconds(1000);
         batch.records.push_back(record);
     }
     Messages::PlacementMessage message;
     message.__set_recordBatch(batch);
-    Messages::PeerMessage peerMessage;
-    peerMessage.__set_placement(message);
-    return sizeOf(std::move(peerMessage));
+    return sizeOf(std::move(message));
 }
 
-static double trackNoticeSize(std::size_t buckets)
+static double bucketNoticeSize(std::size_t buckets)
 {
-    Messages::TrackNotice notice;
+    Messages::BucketNotice notice;
     notice.serviceId = idOf(1);
-    notice.revision = 1'700'000;
-    notice.tracked = std::string(buckets / 8, '\1');
+    notice.sequence = 100'000;
+    notice.upstreams.push_back(upstreamReference());
+    for (std::size_t i = 0; i < buckets; ++i) {
+        Messages::BucketEntry entry;
+        entry.bucket = static_cast<std::int32_t>(i * 8);
+        entry.epoch = idOf(i);
+        entry.baseline = 0;
+        entry.__set_tracked(true);
+        notice.entries.push_back(entry);
+    }
     Messages::PlacementMessage message;
-    message.__set_trackNotice(notice);
-    Messages::PeerMessage peerMessage;
-    peerMessage.__set_placement(message);
-    return sizeOf(std::move(peerMessage));
+    message.__set_bucketNotice(notice);
+    return sizeOf(std::move(message));
 }
 
-static double trackAcknowledgementSize()
+static double placementAcknowledgementSize()
 {
-    Messages::TrackAcknowledgement acknowledgement;
-    acknowledgement.serviceId = idOf(1);
-    acknowledgement.revision = 1'700'000;
+    Messages::PlacementAcknowledgement acknowledgement;
+    acknowledgement.sequences.push_back(100'000);
     Messages::PlacementMessage message;
-    message.__set_trackAcknowledgement(acknowledgement);
-    Messages::PeerMessage peerMessage;
-    peerMessage.__set_placement(message);
-    return sizeOf(std::move(peerMessage));
+    message.__set_acknowledgement(acknowledgement);
+    return sizeOf(std::move(message));
 }
 
 static double healthResultsSize(std::size_t results)
@@ -118,8 +133,9 @@
     report.add("configuration_bytes_per_upstream", configurationBytesPerUpstream(), "B");
     report.add("bytes_per_message_overhead", recordBatchSize(0), "B");
     report.add("bytes_per_flow_record", (recordBatchSize(30) - recordBatchSize(10)) / 20, "B");
-    report.add("bytes_per_track_notice_1024_buckets", trackNoticeSize(1024), "B");
-    report.add("bytes_per_track_acknowledgement", trackAcknowledgementSize(), "B");
+    // The buckets that change when one of 8 upstreams leaves a service with 1,024 buckets.
+    report.add("bytes_per_bucket_notice_128_buckets", bucketNoticeSize(128), "B");
+    report.add("bytes_per_placement_acknowledgement", placementAcknowledgementSize(), "B");
     report.add("bytes_per_health_result", (healthResultsSize(30) - healthResultsSize(10)) / 20, "B");
     report.add("bytes_per_upstream_count", (upstreamCountsSize(30) - upstreamCountsSize(10)) / 20, "B");
     // The share of opens that differ from the baseline is a parameter until the placement benchmark gives it: the bound
--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -52,8 +52,8 @@
     "configuration_bytes_per_upstream": ("control", "size of the configuration files per upstream"),
     "bytes_per_message_overhead": ("control", "bytes of a message without content, with IP and UDP headers"),
     "bytes_per_flow_record": ("control", "bytes of a copied flow record"),
-    "bytes_per_track_notice_1024_buckets": ("control", "bytes of a track notice"),
-    "bytes_per_track_acknowledgement": ("control", "bytes of its acknowledgement"),
+    "bytes_per_bucket_notice_128_buckets": ("control", "bytes of the track notices of 128 buckets"),
+    "bytes_per_placement_acknowledgement": ("control", "bytes of its acknowledgement"),
     "bytes_per_health_result": ("control", "bytes of one upstream's health result"),
     "bytes_per_upstream_count": ("control", "bytes of one upstream's open count"),
     "newcomer_bytes_300_nodes_38_upstreams": ("control", "bytes that a newcomer among 300 receives and sends"),
@@ -258,8 +258,8 @@
 def reach_table(f):
     """Where today's mechanism does not reach, and what would."""
     changes = CHANGES_PER_DAY / DAY
-    notice = f["bytes_per_track_notice_1024_buckets"]
-    acknowledgement = f["bytes_per_track_acknowledgement"]
+    notice = f["bytes_per_bucket_notice_128_buckets"]
+    acknowledgement = f["bytes_per_placement_acknowledgement"]
     mesh = changes * NODES * (notice + acknowledgement)
     owner = changes * (NODES * notice) / NODES
     tree = changes * f["tree_model_messages_per_member_2100_members_5_percent_loss"] / 2 * (notice + acknowledgement)
