--- a/Benchmarks/Harness/Traffic.cpp
+++ b/Benchmarks/Harness/Traffic.cpp
@@ -100,6 +100,7 @@
             waiting.push_back(&flow);
     }
     std::vector<Flow*> opens;
+    opens.reserve(300);
     for (int i = 0; i < 300; ++i)
         opens.push_back(&makeFlow());
     auto start = m_fleet.now();
--- a/Libraries/LibPlacement/CoordinatorBuckets.cpp
+++ b/Libraries/LibPlacement/CoordinatorBuckets.cpp
@@ -35,9 +35,7 @@
         if (isClosed == bucket.isBaselineClosed && !isMoving)
             continue;
         bucket.closeBaseline(isClosed, work.now);
-        if (isMoving)
-            bucket.track(nextEpoch(newest, m_options.self), work.now);
-        else if (bucket.proposal)
+        if (isMoving || bucket.proposal)
             bucket.track(nextEpoch(newest, m_options.self), work.now);
         else
             bucket.epoch = nextEpoch(newest, m_options.self);
