--- a/Libraries/LibPlacement/FlowPlacer.cpp
+++ b/Libraries/LibPlacement/FlowPlacer.cpp
@@ -60,7 +60,8 @@
         return drop(Reason::AwaitingAcknowledgement);
     if (lookup.packet.kind == PacketKind::Close && !record.isClosing) {
         record.isClosing = true;
-        if (record.isCounted && m_hooks.flowClosed)
+        bool isInSnapshot = record.upstream < lookup.view.upstreams.size();
+        if (record.isCounted && isInSnapshot && m_hooks.flowClosed)
             m_hooks.flowClosed(lookup.packet.service, lookup.view.upstreams[record.upstream].id);
         record.isCounted = false;
     }
@@ -113,7 +114,8 @@
     bool isTargetOnly = !m_hooks.select;
 
     UpstreamIndex chosen = bucket.target;
-    bool isBaselineOpen = bucket.baseline != NoUpstreamIndex && upstreams[bucket.baseline].takesNewFlows;
+    // The snapshot of this thread may be older than the bucket's state and lack the upstream.
+    bool isBaselineOpen = bucket.baseline < upstreams.size() && upstreams[bucket.baseline].takesNewFlows;
     if (mayBeRepeat && !isBaselineOpen)
         return drop(Reason::AwaitingAcknowledgement);
     if (isTargetOnly) {
--- a/Tests/LibPlacement/TestEngine.cpp
+++ b/Tests/LibPlacement/TestEngine.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <atomic>
+#include <thread>
 
 namespace Chicorytally::Placement {
 
@@ -221,6 +223,45 @@
         BOOST_TEST_MESSAGE(violation);
 }
 
+BOOST_AUTO_TEST_CASE(ThreadsDecideWhileConfigurationsChange)
+{
+    // Guards against crashes and moved flows when packets and control run at the same time. No bound on time.
+    Alone alone;
+    alone.apply();
+    std::map<std::uint16_t, Core::UpstreamId> flows;
+    for (std::uint16_t port = 1; port <= 200; ++port)
+        flows[port] = alone.send(port, PacketKind::Open).upstream;
+    std::vector<PacketInfo> packets;
+    for (auto const& [port, upstream] : flows)
+        packets.push_back(alone.packet(port, PacketKind::Data));
+    std::atomic<bool> isOver { false };
+    std::atomic<std::uint64_t> moved { 0 };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 2; ++i) {
+        threads.emplace_back([&] {
+            while (!isOver) {
+                for (auto const& packet : packets) {
+                    auto decision = alone.engine.decide(packet);
+                    if (decision.upstream != flows.at(packet.flow.source.port))
+                        ++moved;
+                }
+            }
+        });
+    }
+    for (std::size_t round = 0; round < 60; ++round) {
+        auto& upstream = Sites::upstream(alone.configuration, "register", round % 15);
+        upstream.state = upstream.isDraining() ? Model::UpstreamState::Active : Model::UpstreamState::Draining;
+        Sites::addUpstream(alone.configuration, "packs", round % 4);
+        alone.apply();
+        alone.engine.tick();
+        Sites::service(alone.configuration, "packs").upstreams.pop_back();
+    }
+    isOver = true;
+    for (auto& thread : threads)
+        thread.join();
+    BOOST_TEST(moved == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(MessagesFitADatagram)
 {
     // Guards against control messages that need IP fragments: a join and a zone out send the largest ones.
