--- a/Tests/LibPlacement/TestEngine.cpp
+++ b/Tests/LibPlacement/TestEngine.cpp
@@ -232,11 +232,13 @@
     for (std::uint16_t port = 1; port <= 200; ++port)
         flows[port] = alone.send(port, PacketKind::Open).upstream;
     std::vector<PacketInfo> packets;
+    packets.reserve(flows.size());
     for (auto const& [port, upstream] : flows)
         packets.push_back(alone.packet(port, PacketKind::Data));
     std::atomic<bool> isOver { false };
     std::atomic<std::uint64_t> moved { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(2);
     for (int i = 0; i < 2; ++i) {
         threads.emplace_back([&] {
             while (!isOver) {
