Tests: Guard the shares of balancers that restart together

Cause: with real processes, two balancers that were killed and restarted together refused every open for good.

Change: a failing case reproduces it with four load controllers.

--- a/Tests/LibLoad/TestLimits.cpp
+++ b/Tests/LibLoad/TestLimits.cpp
@@ -351,6 +351,25 @@
     BOOST_TEST(set.ownShare(upstream, 10) == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(TwoRestartedBalancersGetShares)
+{
+    // Guards against balancers that restart together and wait for ever for counts of each other's former processes.
+    Callers callers { 1, 40, { 1ms, 4ms, 0 } };
+    for (int i = 0; i < 4; ++i)
+        callers.fleet.add();
+    callers.fleet.setPlatformDown(true);
+    callers.fleet.run(5s);
+    callers.fleet.crash(0);
+    callers.fleet.crash(1);
+    callers.fleet.run(5s);
+    std::vector<std::size_t> restarted { callers.fleet.restart(0), callers.fleet.restart(1) };
+    callers.fleet.run(30s);
+    for (auto index : restarted) {
+        for (auto const& status : callers.fleet.at(index).status())
+            BOOST_TEST(status.share > 0U);
+    }
+}
+
 static int const Seeds[] = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15 };
 
 BOOST_DATA_TEST_CASE(SumNeverPassesTheLimit, boost::unit_test::data::make(Seeds), seed)
