Tests: Bound the merge of a partition below the seeds' interval

Cause: without the reconnection to unreachable members the merge still passed, because the seeds joined the parts. Change: the bound is 9 s instead of 15 s.

--- a/Tests/LibMembership/TestFleet.cpp
+++ b/Tests/LibMembership/TestFleet.cpp
@@ -244,6 +244,7 @@
 
     fleet.isConnected = [](std::size_t, std::size_t) { return true; };
     std::size_t wrong = 0;
+    // The seeds alone would join the parts after 10 s or more.
     auto merged = fleet.runUntil(
         [&] {
             for (std::size_t i = 0; i < fleet.size(); ++i) {
@@ -252,7 +253,7 @@
             }
             return fleet.isConverged();
         },
-        15s);
+        9s);
     BOOST_TEST(merged.has_value());
     BOOST_TEST(wrong == 0U);
 }
