--- a/Tests/LibMembership/TestController.cpp
+++ b/Tests/LibMembership/TestController.cpp
@@ -83,6 +83,22 @@
     BOOST_TEST(controller.isConfirmed());
 }
 
+BOOST_AUTO_TEST_CASE(PauseIsNoSilenceOfOthers)
+{
+    // Guards against a resumed process that suspects a member because it couldn't hear the answer in time.
+    Core::ManualClock clock;
+    Controller controller { clock, optionsOf(), {} };
+    acknowledge(controller, *pingOf(controller.tick()), 5, { alivePeer() });
+    for (int i = 0; i < 6; ++i) {
+        clock.advance(100ms);
+        controller.tick();
+    }
+    clock.advance(2100ms);
+    controller.tick();
+    BOOST_TEST_REQUIRE(controller.members().size() == 2U);
+    BOOST_TEST((controller.members()[1].state == Membership::MemberState::Alive));
+}
+
 BOOST_AUTO_TEST_CASE(DeathIsAnsweredByAGreaterIncarnation)
 {
     // Guards against a process that goes on under the incarnation that was declared dead.
--- a/Tests/LibMembership/TestFleet.cpp
+++ b/Tests/LibMembership/TestFleet.cpp
@@ -258,6 +258,23 @@
     BOOST_TEST(wrong == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(FewRelaysProbeAcrossZones)
+{
+    // Guards against every member probing other zones, which makes the traffic between zones grow with their size.
+    auto owner = convergedFleet({ .nodes = 40, .zones = 2, .seed = 20 });
+    auto& fleet = *owner;
+    fleet.run(20s);
+    std::size_t crossing = 0;
+    fleet.isConnected = [&](std::size_t from, std::size_t to) {
+        crossing += from % 2 != to % 2 ? 1 : 0;
+        return true;
+    };
+    fleet.run(10s);
+    // Two relays in each of two zones with two pings a second, each of which is answered.
+    BOOST_TEST(crossing >= 150U);
+    BOOST_TEST(crossing <= 170U);
+}
+
 BOOST_AUTO_TEST_CASE(MessagesFitADatagram)
 {
     // Guards against messages that grow with the number of changes, here with the merge of two halves.
