--- a/Benchmarks/Control/Wire.cpp
+++ b/Benchmarks/Control/Wire.cpp
@@ -22,10 +22,10 @@
 
 static std::int64_t idOf(std::size_t index) { return static_cast<std::int64_t>(Core::hashPair(index, 1)); }
 
-static double sizeOf(Messages::PlacementMessage message)
+static double sizeOf(Messages::PlacementMessage const& message)
 {
     Messages::PeerMessage peerMessage;
-    peerMessage.__set_placement(std::move(message));
+    peerMessage.__set_placement(message);
     return sizeOf(std::move(peerMessage));
 }
 
@@ -52,7 +52,7 @@
     }
     Messages::PlacementMessage message;
     message.__set_recordBatch(batch);
-    return sizeOf(std::move(message));
+    return sizeOf(message);
 }
 
 static double bucketNoticeSize(std::size_t buckets)
@@ -71,7 +71,7 @@
     }
     Messages::PlacementMessage message;
     message.__set_bucketNotice(notice);
-    return sizeOf(std::move(message));
+    return sizeOf(message);
 }
 
 static double placementAcknowledgementSize()
@@ -80,7 +80,7 @@
     acknowledgement.sequences.push_back(100'000);
     Messages::PlacementMessage message;
     message.__set_acknowledgement(acknowledgement);
-    return sizeOf(std::move(message));
+    return sizeOf(message);
 }
 
 static double healthResultsSize(std::size_t results)
--- a/Services/chicorytallyd/ControlLoop.cpp
+++ b/Services/chicorytallyd/ControlLoop.cpp
@@ -53,6 +53,7 @@
 std::vector<Load::LoadMember> toLoadMembers(std::vector<Membership::Member> const& members)
 {
     std::vector<Load::LoadMember> loadMembers;
+    loadMembers.reserve(members.size());
     for (auto const& member : members)
         loadMembers.push_back({ member.vm, toLoadStatus(member.state), member.incarnation });
     return loadMembers;
@@ -143,15 +144,15 @@
         m_membersKnown();
     }
 
-    for (auto& outgoing : m_controllers.distribution.tick()) {
+    for (auto const& outgoing : m_controllers.distribution.tick()) {
         Messages::PeerMessage message;
-        message.__set_distribution(std::move(outgoing.message));
+        message.__set_distribution(outgoing.message);
         queueTo(outgoing.receiver, std::move(message));
     }
     queuePlacement();
-    for (auto& outgoing : m_controllers.load.tick()) {
+    for (auto const& outgoing : m_controllers.load.tick()) {
         Messages::PeerMessage message;
-        message.__set_load(std::move(outgoing.message));
+        message.__set_load(outgoing.message);
         queueTo(outgoing.receiver, std::move(message));
     }
     m_controllers.probes.run(m_controllers.load.probesDue());
@@ -159,18 +160,18 @@
 
 void ControlLoop::queueMembership()
 {
-    for (auto& outgoing : m_controllers.membership.tick()) {
+    for (auto const& outgoing : m_controllers.membership.tick()) {
         Messages::PeerMessage message;
-        message.__set_membership(std::move(outgoing.message));
+        message.__set_membership(outgoing.message);
         m_channel->queue(outgoing.receiverEndpoint, std::move(message));
     }
 }
 
 void ControlLoop::queuePlacement()
 {
-    for (auto& outgoing : m_controllers.engine.tick()) {
+    for (auto const& outgoing : m_controllers.engine.tick()) {
         Messages::PeerMessage message;
-        message.__set_placement(std::move(outgoing.message));
+        message.__set_placement(outgoing.message);
         queueTo(outgoing.receiver, std::move(message));
     }
 }
--- a/Tests/Daemon/TestSettings.cpp
+++ b/Tests/Daemon/TestSettings.cpp
@@ -21,6 +21,7 @@
         "--platform=10.0.0.1:8500", "--peer_key=" + keyText('a') };
     words.insert(words.end(), flags.begin(), flags.end());
     std::vector<char*> arguments;
+    arguments.reserve(words.size());
     for (auto& word : words)
         arguments.push_back(word.data());
     return Daemon::parseSettings(static_cast<int>(arguments.size()), arguments.data(), error);
