chicorytally: Print the share of new flows that a change moves

Cause: diff named the changes but not what they mean for the flows; the capacity page counted 1,024 buckets a service where the table has 2,048.

Change: diff compares the tables of both configurations bucket by bucket.

--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -70,7 +70,7 @@
     "tree_model_messages_per_member_2100_members_5_percent_loss": ("control", "model of a tree, messages a member"),
     "bytes_per_bucket": ("decision", "memory of one bucket state, without its list of preferences"),
     "tracked_share_of_opens": ("placement", "share of the opens that get a record at the backup: tracked buckets after a drain of 1 of 15"),
-    "rebuild_microseconds_per_bucket": ("placement", "time to compute a table of 15 upstreams, per bucket of 1,024"),
+    "rebuild_microseconds_per_bucket": ("placement", "time to compute a table of 15 upstreams, per bucket of 2,048"),
     "held_flow_bytes": ("decision", "memory of one held flow"),
     "processor_per_open_microseconds": ("placement", "processor time of one open at its owner"),
     "load_bytes_per_upstream": ("load", "memory of one upstream's state"),
@@ -93,7 +93,7 @@
 ALIASES = {
     "decision_bytes_per_flow_tracked": ("held_flow_bytes", 1),
     "placement_accra_5_engine_drain_tracked_buckets": ("tracked_share_of_opens", 0.01),
-    "placement_accra_table_build": ("rebuild_microseconds_per_bucket", 1000 / 1024),
+    "placement_accra_table_build": ("rebuild_microseconds_per_bucket", 1000 / 2048),
 }
 
 
@@ -168,7 +168,7 @@
 
 def worker_table(f):
     """State and work of packet workers, owners and backups."""
-    buckets_per_service = max(1024, 64 * UPSTREAMS / SERVICES)
+    buckets_per_service = max(2048, 64 * UPSTREAMS / SERVICES)
     buckets = SERVICES * buckets_per_service
     flows = FLOWS / NODES
     opens = OPENS / NODES
--- a/Tests/Utilities/TestTool.cpp
+++ b/Tests/Utilities/TestTool.cpp
@@ -133,6 +133,7 @@
     BOOST_TEST(contains(table.out, "changed  upstream  web/web-1  state  active  draining\n"));
     auto json = Json::parse(run({ "diff", folder.path(), next.path(), "--format=json" }).out);
     BOOST_TEST(json["changes"][0]["keys"][0]["after"] == "draining");
+    BOOST_TEST(json["moved_shares"][0]["share"] > 0);
     BOOST_TEST(run({ "diff", folder.path(), folder.path() }).out == "no differences\n");
 }
 
--- a/Utilities/chicorytally/DiffCommand.cpp
+++ b/Utilities/chicorytally/DiffCommand.cpp
@@ -1,6 +1,10 @@
+#include <LibPlacement/Table.h>
 #include <chicorytally/ConfigurationFolder.h>
 #include <chicorytally/TextTable.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace Chicorytally::Tool {
 
 static Json toJson(Config::Difference const& difference)
@@ -34,8 +38,34 @@
     }
     if (!table.isEmpty())
         table.print(out);
-    for (auto const& moved : difference.movedShares)
-        out << "service " << moved.service << ": " << moved.share * 100 << "% of its flows are placed elsewhere\n";
+    for (auto const& moved : difference.movedShares) {
+        if (moved.share == 0)
+            continue;
+        out << "service " << moved.service << ": " << std::lround(moved.share * 1000) / 10.0
+            << "% of its new flows are placed elsewhere\n";
+    }
+}
+
+// Flows that are established stay; this is the share of new flows, bucket by bucket.
+static double movedShare(
+    Model::Configuration const& before, Model::Configuration const& after, Model::Service const& service)
+{
+    auto hasName = [&](Model::Service const& other) { return other.name == service.name; };
+    auto former = std::ranges::find_if(before.services, hasName);
+    if (former == before.services.end())
+        return 1;
+    Placement::Table oldTable { before, *former };
+    Placement::Table newTable { after, service };
+    // Bucket counts are powers of two, so the larger one is a multiple of the other.
+    auto count = std::max(oldTable.bucketCount(), newTable.bucketCount());
+    std::size_t moved = 0;
+    for (std::size_t bucket = 0; bucket < count; ++bucket) {
+        auto const* oldTarget = oldTable.target(bucket % oldTable.bucketCount());
+        auto const* newTarget = newTable.target(bucket % newTable.bucketCount());
+        auto idOf = [](Model::Upstream const* upstream) { return upstream ? upstream->id : Core::UpstreamId {}; };
+        moved += idOf(oldTarget) != idOf(newTarget);
+    }
+    return static_cast<double>(moved) / static_cast<double>(count);
 }
 
 static int runDiff(Invocation const& invocation)
@@ -44,8 +74,7 @@
     auto after = before ? readOrPrintFaults(invocation, invocation.operands[1]) : std::nullopt;
     if (!after)
         return ExitFaults;
-    // FIXME: Pass a movedShare hook once LibPlacement builds the table of a revision.
-    auto difference = Config::findDifference(*before, *after);
+    auto difference = Config::findDifference(*before, *after, { .movedShare = movedShare });
     if (invocation.isJson)
         printJson(invocation.out, toJson(difference));
     else
