LibLoad: Follow a process that takes a greater incarnation

Cause: a process that was declared dead goes on under a greater incarnation. Its load messages kept the old one, so the others took it for a process that is gone and one that never confirms anything, in turns.

Change: LoadController::setIncarnation renews the claim; the process opens nothing until the others count it. The engine's buckets and records are metrics.

Not tried with real processes that are cut off.

--- a/Libraries/LibLoad/LoadController.cpp
+++ b/Libraries/LibLoad/LoadController.cpp
@@ -90,6 +90,12 @@
     m_state->setOverloaded(isOverloaded);
 }
 
+void LoadController::setIncarnation(Core::Incarnation incarnation)
+{
+    absl::MutexLock lock { &m_lock };
+    m_state->setIncarnation(incarnation);
+}
+
 bool LoadController::isReady() const
 {
     absl::MutexLock lock { &m_lock };
--- a/Libraries/LibLoad/LoadController.h
+++ b/Libraries/LibLoad/LoadController.h
@@ -45,6 +45,8 @@
 
     /// The balancer itself is short of processor time or memory: established flows go on, new ones are refused.
     void setOverloaded(bool);
+    /// This process took a greater incarnation; its messages and its claim on the limits carry it from now on.
+    void setIncarnation(Core::Incarnation);
     /// False: every open would be refused, because members haven't confirmed this VM yet. A VM that isn't ready should
     /// own no buckets.
     bool isReady() const;
--- a/Libraries/LibLoad/LoadState.h
+++ b/Libraries/LibLoad/LoadState.h
@@ -39,6 +39,11 @@
     std::vector<ProbeTarget> probesDue();
     void receive(Core::VmId sender, Messages::LoadMessage const&);
     std::vector<OutgoingMessage> tick();
+    void setIncarnation(Core::Incarnation incarnation)
+    {
+        m_options.incarnation = incarnation;
+        m_openers.setIncarnation(incarnation);
+    }
     void setOverloaded(bool isOverloaded) { m_guard.setOverloaded(isOverloaded); }
     bool isReady() const { return m_openers.isReady(); }
     std::vector<UpstreamStatus> status() const;
--- a/Libraries/LibLoad/OpenerSet.cpp
+++ b/Libraries/LibLoad/OpenerSet.cpp
@@ -10,6 +10,16 @@
 {
 }
 
+void OpenerSet::setIncarnation(Core::Incarnation incarnation)
+{
+    m_self = openerId(m_selfVm, incarnation);
+    m_isReady = false;
+    for (auto& [id, opener] : m_openers)
+        opener.hasConfirmed = false;
+    ++m_version;
+    updateReady();
+}
+
 OpenerSet::Opener* OpenerSet::add(Core::VmId vm, Core::Incarnation incarnation)
 {
     auto id = openerId(vm, incarnation);
--- a/Libraries/LibLoad/OpenerSet.h
+++ b/Libraries/LibLoad/OpenerSet.h
@@ -28,6 +28,9 @@
     OpenerSet(Core::VmId self, Core::Incarnation);
 
     OpenerId self() const { return m_self; }
+    /// This process goes on under a greater incarnation, because others declared it dead. It opens nothing until they
+    /// count it again.
+    void setIncarnation(Core::Incarnation);
 
     void applyMembers(std::vector<LoadMember> const&, Core::TimePoint now);
     /// What another opener published about itself: the set its shares are computed with, and its open flows.
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -98,8 +98,11 @@
                       if (m_control)
                           m_control->noteMembersChanged();
                   },
-              .incarnationChanged
-              = [this](Core::Incarnation incarnation) { m_control->noteIncarnation(incarnation); } })
+              .incarnationChanged =
+                  [this](Core::Incarnation incarnation) {
+                      m_control->noteIncarnation(incarnation);
+                      m_load.setIncarnation(incarnation);
+                  } })
     , m_distribution(m_clock, distributionOptions(m_settings, m_incarnation),
           { .accept = [this](Core::Revision revision, Distribution::FileSet const& files,
                           std::string& reason) { return m_configuration.accept(revision, files, reason); } })
@@ -210,6 +213,15 @@
         "chicorytally_control_rejected_total", "Datagrams that were not authentic, new or decodable", control.rejected);
     m_metrics.observe("chicorytally_revision", "Configuration revision in force",
         [this] { return static_cast<double>(m_distribution.revision().value()); });
+    auto observeEngine = [this](char const* name, char const* help, std::size_t Placement::EngineCounters::*counter) {
+        m_metrics.observe(name, help, [this, counter] { return static_cast<double>(m_engine.counters().*counter); });
+    };
+    observeEngine("chicorytally_tracked_buckets", "Buckets whose flows are looked up by their owner",
+        &Placement::EngineCounters::trackedBuckets);
+    observeEngine("chicorytally_owned_buckets", "Buckets whose opens this balancer decides",
+        &Placement::EngineCounters::ownedBuckets);
+    observeEngine("chicorytally_flow_records", "Flow records held as owner", &Placement::EngineCounters::records);
+    observeEngine("chicorytally_flow_copies", "Flow records held as backup", &Placement::EngineCounters::copies);
     m_metrics.observe(
         "chicorytally_ready", "1 when packets may be sent to this balancer", [this] { return isReady() ? 1 : 0; });
 }
--- a/Tests/LibLoad/TestLimits.cpp
+++ b/Tests/LibLoad/TestLimits.cpp
@@ -370,6 +370,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(GreaterIncarnationIsCountedAgainFirst)
+{
+    // Guards against a process that was declared dead and opens flows under a claim that others have given away.
+    Core::VmId self { 1 };
+    Load::OpenerSet set { self, Core::Incarnation { 1 } };
+    Core::ManualClock clock;
+    set.applyMembers({ { Core::VmId { 2 }, Load::MemberStatus::Alive, Core::Incarnation { 1 } } }, clock.now());
+    auto hearOpeners = [&](std::uint64_t incarnation) {
+        Messages::UpstreamCounts message;
+        message.__set_incarnation(1);
+        auto id = Load::openerId(self, Core::Incarnation { incarnation });
+        message.__set_openers({ static_cast<std::int64_t>(id.value()) });
+        set.hear(Core::VmId { 2 }, message, clock.now());
+    };
+    hearOpeners(1);
+    BOOST_TEST(set.isReady());
+    set.setIncarnation(Core::Incarnation { 2 });
+    BOOST_TEST(!set.isReady());
+    hearOpeners(1);
+    BOOST_TEST(!set.isReady());
+    hearOpeners(2);
+    BOOST_TEST(set.isReady());
+}
+
 static int const Seeds[] = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15 };
 
 BOOST_DATA_TEST_CASE(SumNeverPassesTheLimit, boost::unit_test::data::make(Seeds), seed)
