LibLoad: Repeat full counts for 5 s after the set of openers changed

Cause: a balancer that started together with others could miss their first full counts, for example because the sender did not know its endpoint yet. The next ones came after 10 s; until then its shares were 0 and it refused all opens.

Change: full counts are repeated every second for 5 s after a change. Ruled out: counts that are not published when a configuration comes late (a case for it passed without any change).

--- a/Libraries/LibLoad/LoadState.h
+++ b/Libraries/LibLoad/LoadState.h
@@ -19,6 +19,9 @@
     /// Changed counts are published this often, all counts and start ages at the longer interval.
     static constexpr std::chrono::seconds CountInterval { 1 };
     static constexpr std::chrono::seconds FullCountInterval { 10 };
+    /// After a change of the set, full counts are repeated every CountInterval for this long: a member that misses the
+    /// first ones has no share.
+    static constexpr std::chrono::seconds FullCountRepeat { 5 };
     static constexpr std::chrono::seconds HealthInterval { 2 };
     /// Entries in one message, so that it stays below a datagram of 1,200 bytes.
     static constexpr std::size_t EntriesPerMessage = 32;
@@ -107,6 +110,7 @@
     std::uint64_t m_publishedVersion { 0 };
     Core::TimePoint m_nextCounts;
     Core::TimePoint m_nextFullCounts;
+    Core::TimePoint m_repeatFullUntil;
     Core::TimePoint m_nextHealth;
 };
 
--- a/Libraries/LibLoad/LoadStateMessages.cpp
+++ b/Libraries/LibLoad/LoadStateMessages.cpp
@@ -200,13 +200,15 @@
         updateService(*service);
 
     std::vector<Messages::LoadMessage> messages;
+    if (m_openers.version() != m_publishedVersion)
+        m_repeatFullUntil = now() + FullCountRepeat;
     // A changed set is published at once: added openers wait for it.
     bool isFull = now() >= m_nextFullCounts || m_openers.version() != m_publishedVersion;
     if (isFull) {
         addCounts(messages, true);
         addLostCounts(messages);
         m_publishedVersion = m_openers.version();
-        m_nextFullCounts = now() + FullCountInterval;
+        m_nextFullCounts = now() + (now() < m_repeatFullUntil ? CountInterval : FullCountInterval);
         m_nextCounts = now() + CountInterval;
     } else if (now() >= m_nextCounts) {
         addCounts(messages, false);
--- a/Tests/LibLoad/TestLimits.cpp
+++ b/Tests/LibLoad/TestLimits.cpp
@@ -5,7 +5,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <map>
+#include <memory>
 #include <random>
 
 using namespace Chicorytally;
@@ -394,6 +396,42 @@
     BOOST_TEST(set.isReady());
 }
 
+BOOST_AUTO_TEST_CASE(LostFirstCountsAreRepeatedSoon)
+{
+    // Guards against balancers that start together, lose their first counts and refuse all opens for 10 s.
+    Core::ManualClock clock;
+    std::array<Core::VmId, 2> const vms { Core::VmId { 1 }, Core::VmId { 2 } };
+    std::vector<std::unique_ptr<Load::LoadController>> controllers;
+    for (auto vm : vms) {
+        Load::LoadOptions options { .self = vm, .incarnation = Core::Incarnation { 1 } };
+        controllers.push_back(std::make_unique<Load::LoadController>(clock, options));
+        controllers.back()->applyMembers({ { vms[0], Load::MemberStatus::Alive, Core::Incarnation { 1 } },
+            { vms[1], Load::MemberStatus::Alive, Core::Incarnation { 1 } } });
+    }
+    Benchmarks::ServiceShape shape { .name = "s", .upstreams = 3, .maxConnections = 100, .slowStart = 1s };
+    auto configuration = std::make_shared<Model::Configuration const>(
+        Benchmarks::makeConfiguration({ .name = "site", .zones = 1, .services = { shape } }));
+    for (auto& controller : controllers)
+        controller->applyConfiguration(configuration);
+    auto tick = [&](std::size_t rounds, bool isLost) {
+        for (std::size_t round = 0; round < rounds; ++round) {
+            clock.advance(100ms);
+            for (std::size_t i = 0; i < 2; ++i) {
+                for (auto const& outgoing : controllers[i]->tick()) {
+                    if (!isLost)
+                        controllers[1 - i]->receive(vms[i], outgoing.message);
+                }
+            }
+        }
+    };
+    tick(8, true);
+    tick(20, false);
+    for (auto& controller : controllers) {
+        for (auto const& status : controller->status())
+            BOOST_TEST(status.share > 0U);
+    }
+}
+
 static int const Seeds[] = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15 };
 
 BOOST_DATA_TEST_CASE(SumNeverPassesTheLimit, boost::unit_test::data::make(Seeds), seed)
