LibEventLoop: Add an event loop with HTTP and connection probes

A balancer on a quarter of a core gains nothing from threads: each wake-up and each lock is charged. The loop wraps libevent (timers, signals, HTTP client and server) and adds a probe that makes one TCP handshake.

Ruled out: cpp-httplib for the store, which blocks a thread for each waiting watch; Boost.Asio, which brings its own HTTP only as Beast and larger binaries. Result: TestLibEventLoop, 4 cases.

--- /dev/null
+++ b/Libraries/LibEventLoop/HttpClient.cpp
@@ -0,0 +1,109 @@
+#include <LibEventLoop/HttpClient.h>
+
+#include <LibEventLoop/TimeValue.h>
+
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+namespace Chicorytally::EventLoop {
+
+// A page of items holds 1 MB of values in base64; a single value may be as large.
+static constexpr std::size_t MaxBodyBytes = std::size_t { 4 } * 1024 * 1024;
+
+std::string_view toString(HttpError error)
+{
+    switch (error) {
+    case HttpError::None:
+        return "none";
+    case HttpError::TimedOut:
+        return "timed_out";
+    case HttpError::ConnectionClosed:
+        return "connection_closed";
+    case HttpError::Malformed:
+        return "malformed";
+    case HttpError::TooLarge:
+        return "too_large";
+    case HttpError::Busy:
+        return "busy";
+    }
+    return "unknown";
+}
+
+HttpClient::HttpClient(Loop& loop, Core::Endpoint server)
+    : m_loop(loop)
+    , m_server(server)
+    , m_deadline(loop.timer([this] {
+        disconnect();
+        finish(std::nullopt, HttpError::TimedOut);
+    }))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    m_callback = nullptr;
+    disconnect();
+}
+
+void HttpClient::connect()
+{
+    m_connection
+        = evhttp_connection_base_new(m_loop.base(), nullptr, m_server.address.toString().c_str(), m_server.port);
+    evhttp_connection_set_max_body_size(m_connection, MaxBodyBytes);
+    evhttp_connection_set_retries(m_connection, 0);
+}
+
+void HttpClient::disconnect()
+{
+    if (!m_connection)
+        return;
+    // Freeing the connection reports its request as failed, which must not reach the callback of the next one.
+    auto* connection = m_connection;
+    m_connection = nullptr;
+    evhttp_connection_free(connection);
+}
+
+void HttpClient::get(std::string const& target, std::chrono::milliseconds timeout, Callback callback)
+{
+    if (isBusy()) {
+        callback(std::nullopt, HttpError::Busy);
+        return;
+    }
+    if (!m_connection)
+        connect();
+    m_callback = std::move(callback);
+    m_deadline->arm(timeout);
+    auto* request = evhttp_request_new(onResponse, this);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", m_server.toString().c_str());
+    if (evhttp_make_request(m_connection, request, EVHTTP_REQ_GET, target.c_str()) != 0) {
+        disconnect();
+        finish(std::nullopt, HttpError::ConnectionClosed);
+    }
+}
+
+void HttpClient::onResponse(evhttp_request* request, void* context)
+{
+    auto* self = static_cast<HttpClient*>(context);
+    if (!self->m_connection)
+        return;
+    auto status = request ? evhttp_request_get_response_code(request) : 0;
+    if (status == 0) {
+        self->finish(std::nullopt, HttpError::ConnectionClosed);
+        return;
+    }
+    auto* buffer = evhttp_request_get_input_buffer(request);
+    HttpResponse response { .status = status, .body = std::string(evbuffer_get_length(buffer), '\0') };
+    evbuffer_remove(buffer, response.body.data(), response.body.size());
+    self->finish(std::move(response), HttpError::None);
+}
+
+void HttpClient::finish(std::optional<HttpResponse> response, HttpError error)
+{
+    m_deadline->cancel();
+    if (auto callback = std::exchange(m_callback, nullptr))
+        callback(std::move(response), error);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEventLoop/HttpClient.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibCore/Core.h>
+#include <LibEventLoop/Loop.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace Chicorytally::EventLoop {
+
+struct HttpResponse {
+    int status { 0 };
+    std::string body;
+};
+
+enum class HttpError : std::uint8_t {
+    None,
+    TimedOut,
+    ConnectionClosed,
+    Malformed,
+    TooLarge,
+    Busy,
+};
+
+std::string_view toString(HttpError);
+
+/// Sends GET requests to one server over one connection, one request at a time. The connection is kept open between
+/// requests and made again after an error, so that a silent connection costs one timeout.
+class HttpClient {
+public:
+    /// Called once for each request: with the response, or with nothing and the error.
+    using Callback = std::function<void(std::optional<HttpResponse>, HttpError)>;
+
+    HttpClient(Loop&, Core::Endpoint server);
+    HttpClient(HttpClient const&) = delete;
+    HttpClient& operator=(HttpClient const&) = delete;
+    ~HttpClient();
+
+    /// The timeout covers connecting and the whole response. Fails with Busy while a request is under way.
+    void get(std::string const& target, std::chrono::milliseconds timeout, Callback);
+    bool isBusy() const { return static_cast<bool>(m_callback); }
+
+private:
+    void connect();
+    void disconnect();
+    void finish(std::optional<HttpResponse>, HttpError);
+    static void onResponse(evhttp_request*, void* self);
+
+    Loop& m_loop;
+    Core::Endpoint m_server;
+    evhttp_connection* m_connection { nullptr };
+    /// Set while a request is under way.
+    Callback m_callback;
+    std::unique_ptr<Subscription> m_deadline;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEventLoop/HttpServer.cpp
@@ -0,0 +1,48 @@
+#include <LibEventLoop/HttpServer.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+namespace Chicorytally::EventLoop {
+
+// Idle connections of monitoring are closed, so that they don't use up the descriptors.
+static constexpr int IdleTimeoutSeconds = 30;
+
+std::unique_ptr<HttpServer> HttpServer::create(Loop& loop, Core::Endpoint const& endpoint, std::string& error)
+{
+    auto* server = evhttp_new(loop.base());
+    if (server && evhttp_bind_socket(server, endpoint.address.toString().c_str(), endpoint.port) == 0)
+        return std::unique_ptr<HttpServer> { new HttpServer { server } };
+    error = "can't listen on " + endpoint.toString();
+    if (server)
+        evhttp_free(server);
+    return nullptr;
+}
+
+HttpServer::HttpServer(evhttp* server)
+    : m_server(server)
+{
+    evhttp_set_timeout(m_server, IdleTimeoutSeconds);
+    evhttp_set_allowed_methods(m_server, EVHTTP_REQ_GET);
+    evhttp_set_gencb(
+        m_server, [](evhttp_request* request, void* self) { static_cast<HttpServer*>(self)->answer(request); }, this);
+}
+
+HttpServer::~HttpServer() { evhttp_free(m_server); }
+
+void HttpServer::addRoute(std::string const& path, Handler handler) { m_routes.emplace(path, std::move(handler)); }
+
+void HttpServer::answer(evhttp_request* request) const
+{
+    auto const* uri = evhttp_request_get_evhttp_uri(request);
+    auto const* path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    auto route = path ? m_routes.find(path) : m_routes.end();
+    HttpResponse response { .status = HTTP_NOTFOUND };
+    if (route != m_routes.end())
+        response = route->second();
+    auto* buffer = evhttp_request_get_output_buffer(request);
+    evbuffer_add(buffer, response.body.data(), response.body.size());
+    evhttp_send_reply(request, response.status, nullptr, nullptr);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEventLoop/HttpServer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibCore/Core.h>
+#include <LibEventLoop/HttpClient.h>
+#include <LibEventLoop/Loop.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct evhttp;
+struct evhttp_request;
+
+namespace Chicorytally::EventLoop {
+
+/// Answers GET requests on the loop. Unknown paths are answered with 404.
+class HttpServer {
+public:
+    using Handler = std::function<HttpResponse()>;
+
+    /// Nothing when the endpoint can't be bound; the error says why.
+    static std::unique_ptr<HttpServer> create(Loop&, Core::Endpoint const&, std::string& error);
+    HttpServer(HttpServer const&) = delete;
+    HttpServer& operator=(HttpServer const&) = delete;
+    ~HttpServer();
+
+    /// The path is matched whole, without the query.
+    void addRoute(std::string const& path, Handler);
+
+private:
+    explicit HttpServer(evhttp* server);
+    void answer(evhttp_request*) const;
+
+    evhttp* m_server;
+    std::map<std::string, Handler, std::less<>> m_routes;
+};
+
+}
--- /dev/null
+++ b/Tests/LibEventLoop/TestHttp.cpp
@@ -0,0 +1,124 @@
+#include <LibEventLoop/EventLoop.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A bound TCP socket on a free loopback port, listening or not.
+class TcpPort {
+public:
+    explicit TcpPort(bool isListening)
+        : m_descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        BOOST_REQUIRE(bind(m_descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        if (isListening)
+            BOOST_REQUIRE(listen(m_descriptor, 8) == 0);
+        getsockname(m_descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        m_endpoint = *Core::Endpoint::parse("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+    }
+    TcpPort(TcpPort const&) = delete;
+    TcpPort& operator=(TcpPort const&) = delete;
+    ~TcpPort() { close(m_descriptor); }
+
+    Core::Endpoint const& endpoint() const { return m_endpoint; }
+
+private:
+    int m_descriptor;
+    Core::Endpoint m_endpoint;
+};
+
+Core::Endpoint freePort() { return TcpPort { false }.endpoint(); }
+
+struct Fixture {
+    std::string error;
+    std::unique_ptr<EventLoop::Loop> loop { EventLoop::Loop::create(error) };
+    Core::SystemClock clock;
+    EventLoop::HttpError httpError { EventLoop::HttpError::None };
+    std::optional<EventLoop::HttpResponse> response;
+
+    void get(EventLoop::HttpClient& client, std::string const& target, std::chrono::milliseconds timeout = 5s)
+    {
+        client.get(target, timeout, [this](auto result, auto failure) {
+            response = std::move(result);
+            httpError = failure;
+            loop->stop();
+        });
+        loop->run();
+    }
+
+    EventLoop::ProbeResult probe(Core::Endpoint const& endpoint, std::chrono::milliseconds timeout)
+    {
+        std::optional<EventLoop::ProbeResult> result;
+        EventLoop::ConnectionProbe probe { *loop, clock, endpoint, timeout, [&](auto found) {
+                                              result = found;
+                                              loop->stop();
+                                          } };
+        loop->run();
+        return *result;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(Http, Fixture)
+
+BOOST_AUTO_TEST_CASE(RequestsShareAConnection)
+{
+    // Guards against a client that answers a request with an earlier response.
+    auto endpoint = freePort();
+    auto server = EventLoop::HttpServer::create(*loop, endpoint, error);
+    BOOST_REQUIRE_MESSAGE(server, error);
+    server->addRoute("/a", [] { return EventLoop::HttpResponse { 200, "first" }; });
+    server->addRoute("/b", [] { return EventLoop::HttpResponse { 503, "second" }; });
+    EventLoop::HttpClient client { *loop, endpoint };
+    get(client, "/a?x=1");
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->body == "first");
+    get(client, "/b");
+    BOOST_TEST(response->status == 503);
+    BOOST_TEST(response->body == "second");
+    get(client, "/c");
+    BOOST_TEST(response->status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(SilentServerTimesOutAndTheClientRecovers)
+{
+    // Guards against a connection that went silent and is waited for without end.
+    TcpPort silent { true };
+    EventLoop::HttpClient client { *loop, silent.endpoint() };
+    get(client, "/", 20ms);
+    BOOST_CHECK(httpError == EventLoop::HttpError::TimedOut);
+    BOOST_TEST(!client.isBusy());
+    get(client, "/", 20ms);
+    BOOST_CHECK(httpError == EventLoop::HttpError::TimedOut);
+}
+
+BOOST_AUTO_TEST_CASE(ClosedPortIsReported)
+{
+    // Guards against a failure that is taken for an empty answer.
+    EventLoop::HttpClient client { *loop, freePort() };
+    get(client, "/");
+    BOOST_TEST(!response.has_value());
+    BOOST_CHECK(httpError == EventLoop::HttpError::ConnectionClosed);
+}
+
+BOOST_AUTO_TEST_CASE(ProbeTellsAListenerFromAClosedPort)
+{
+    // Guards against an upstream that is given up though a process listens.
+    TcpPort listener { true };
+    BOOST_CHECK(probe(listener.endpoint(), 5s) == EventLoop::ProbeResult::Connected);
+    BOOST_CHECK(probe(freePort(), 5s) == EventLoop::ProbeResult::Refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
