LibDirectory: Add routes and upstreams that are discovered at run time

The configuration folder names upstreams in advance; where they register themselves, entries lapse, return, restart under the same id and reuse addresses. The directory keeps the newest revision of each and never regresses. A record outlives its entry for the flows that it still holds.

--- /dev/null
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -0,0 +1,188 @@
+#include <LibDirectory/UpstreamDirectory.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Directory {
+
+UpstreamDirectory::UpstreamDirectory(Core::Clock const& clock, DirectoryOptions options, DirectoryHooks hooks)
+    : m_clock(clock)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+{
+}
+
+bool UpstreamDirectory::applyRoutes(RouteTable table)
+{
+    if (table.version <= m_routes.version)
+        return false;
+    m_routes = std::move(table);
+    return true;
+}
+
+bool UpstreamDirectory::applyUpstream(UpstreamEntry entry)
+{
+    auto record = m_records.find(entry.upstream.id);
+    if (record == m_records.end()) {
+        addRecord(std::move(entry));
+        return true;
+    }
+    if (entry.revision <= record->second->entry.revision)
+        return false;
+    updateRecord(*record->second, std::move(entry));
+    return true;
+}
+
+void UpstreamDirectory::addRecord(UpstreamEntry entry)
+{
+    auto id = entry.upstream.id;
+    auto& record = *(m_records[id] = std::make_unique<UpstreamRecord>());
+    record.entry = std::move(entry);
+    record.token = routingToken(id);
+    record.coldUntil = m_clock.now() + record.entry.coldFor;
+    record.isTokenTaken = !m_byToken.try_emplace(record.token, &record).second;
+    m_byService[record.entry.service].push_back(&record);
+    supersedeOthersAt(record);
+}
+
+void UpstreamDirectory::updateRecord(UpstreamRecord& record, UpstreamEntry entry)
+{
+    bool wasListed = record.isListed;
+    bool isRestarted = entry.incarnation > record.entry.incarnation;
+    if (entry.service != record.entry.service) {
+        std::erase(m_byService[record.entry.service], &record);
+        m_byService[entry.service].push_back(&record);
+    }
+    if (entry.upstream.address != record.entry.upstream.address)
+        m_byAddress.erase(record.entry.upstream.address);
+    record.entry = std::move(entry);
+    record.coldUntil = m_clock.now() + record.entry.coldFor;
+    record.isListed = true;
+    record.isSuperseded = false;
+    supersedeOthersAt(record);
+    if (isRestarted && m_hooks.restarted)
+        m_hooks.restarted(record);
+    if (!wasListed && m_hooks.listedAgain)
+        m_hooks.listedAgain(record);
+}
+
+void UpstreamDirectory::supersedeOthersAt(UpstreamRecord& record)
+{
+    auto& holder = m_byAddress[record.entry.upstream.address];
+    auto* former = holder;
+    // Entries may arrive out of order; the address belongs to the process that started last.
+    if (former && former != &record && former->entry.incarnation > record.entry.incarnation) {
+        record.isSuperseded = true;
+        unlist(record);
+        return;
+    }
+    holder = &record;
+    if (!former || former == &record || former->isSuperseded)
+        return;
+    former->isSuperseded = true;
+    unlist(*former);
+}
+
+bool UpstreamDirectory::removeUpstream(Core::UpstreamId id, Core::Revision revision)
+{
+    auto record = m_records.find(id);
+    if (record == m_records.end() || revision <= record->second->entry.revision)
+        return false;
+    record->second->entry.revision = revision;
+    if (record->second->isListed)
+        unlist(*record->second);
+    return true;
+}
+
+void UpstreamDirectory::unlist(UpstreamRecord& record)
+{
+    record.isListed = false;
+    record.unlistedSince = m_clock.now();
+    if (m_hooks.unlisted)
+        m_hooks.unlisted(record);
+}
+
+void UpstreamDirectory::setZoneOut(Core::ZoneId zone, bool isOut)
+{
+    if (isOut) {
+        m_zonesOut.insert(zone);
+        return;
+    }
+    if (m_zonesOut.erase(zone) != 0)
+        m_zoneReturns[zone] = m_clock.now();
+}
+
+void UpstreamDirectory::sweep()
+{
+    std::vector<Core::UpstreamId> expired;
+    for (auto const& [id, record] : m_records) {
+        if (!record->isListed && m_clock.now() - record->unlistedSince > m_options.retention)
+            expired.push_back(id);
+    }
+    for (auto id : expired)
+        forget(id);
+}
+
+void UpstreamDirectory::forget(Core::UpstreamId id)
+{
+    auto record = m_records.find(id);
+    auto* pointer = record->second.get();
+    std::erase(m_byService[pointer->entry.service], pointer);
+    if (auto holder = m_byToken.find(pointer->token); holder != m_byToken.end() && holder->second == pointer)
+        m_byToken.erase(holder);
+    auto const& address = pointer->entry.upstream.address;
+    if (auto holder = m_byAddress.find(address); holder != m_byAddress.end() && holder->second == pointer)
+        m_byAddress.erase(holder);
+    m_records.erase(record);
+}
+
+Route const* UpstreamDirectory::findRoute(Core::Endpoint const& address) const
+{
+    auto route = m_routes.routes.find(address);
+    return route == m_routes.routes.end() ? nullptr : &route->second;
+}
+
+ServiceLimits UpstreamDirectory::limitsOf(Core::ServiceId service) const
+{
+    auto limits = m_routes.services.find(service);
+    return limits == m_routes.services.end() ? ServiceLimits {} : limits->second;
+}
+
+UpstreamRecord const* UpstreamDirectory::find(Core::UpstreamId id) const
+{
+    auto record = m_records.find(id);
+    return record == m_records.end() ? nullptr : record->second.get();
+}
+
+UpstreamRecord const* UpstreamDirectory::findByToken(RoutingToken token) const
+{
+    auto record = m_byToken.find(token);
+    return record == m_byToken.end() ? nullptr : record->second;
+}
+
+std::vector<UpstreamRecord const*> const& UpstreamDirectory::upstreamsOf(Core::ServiceId service) const
+{
+    static std::vector<UpstreamRecord const*> const None;
+    auto records = m_byService.find(service);
+    return records == m_byService.end() ? None : records->second;
+}
+
+bool UpstreamDirectory::isCold(UpstreamRecord const& record) const
+{
+    return m_clock.now() < record.coldUntil || isHeldAfterReturn(record.entry.upstream.zone);
+}
+
+bool UpstreamDirectory::isHeldAfterReturn(Core::ZoneId zone) const
+{
+    auto returned = m_zoneReturns.find(zone);
+    return returned != m_zoneReturns.end() && m_clock.now() - returned->second < m_options.returnHold;
+}
+
+bool UpstreamDirectory::isOpenable(UpstreamRecord const& record) const
+{
+    return record.isListed && !record.isTokenTaken && !record.entry.upstream.isDraining()
+        && !isZoneOut(record.entry.upstream.zone);
+}
+
+bool UpstreamDirectory::isZoneOut(Core::ZoneId zone) const { return m_zonesOut.contains(zone); }
+
+}
--- /dev/null
+++ b/Tests/LibDirectory/TestUpstreamDirectory.cpp
@@ -0,0 +1,157 @@
+#include <LibDirectory/Directory.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::ServiceId const Register = Directory::serviceId("register");
+Core::ZoneId const ZoneA { 1 };
+
+Directory::UpstreamEntry entry(std::uint64_t id, std::uint64_t revision, std::string const& address = {})
+{
+    Directory::UpstreamEntry entry;
+    entry.upstream.id = Core::UpstreamId { id };
+    entry.upstream.name = "u" + std::to_string(id);
+    entry.upstream.address = *Core::Endpoint::parse(address.empty() ? "10.0.0." + std::to_string(id) + ":80" : address);
+    entry.upstream.zone = ZoneA;
+    entry.service = Register;
+    entry.incarnation = Core::Incarnation { revision };
+    entry.revision = Core::Revision { revision };
+    return entry;
+}
+
+struct Fixture {
+    Core::ManualClock clock;
+    std::vector<std::string> events;
+    Directory::UpstreamDirectory directory { clock, { .returnHold = 2s },
+        { .restarted = [this](auto const& record) { events.push_back("restarted " + record.entry.upstream.name); },
+            .unlisted = [this](auto const& record) { events.push_back("unlisted " + record.entry.upstream.name); },
+            .listedAgain = [this](auto const& record) { events.push_back("listed " + record.entry.upstream.name); } } };
+
+    bool isOpenable(std::uint64_t id) { return directory.isOpenable(*directory.find(Core::UpstreamId { id })); }
+    bool isCold(std::uint64_t id) { return directory.isCold(*directory.find(Core::UpstreamId { id })); }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamDirectory, Fixture)
+
+BOOST_AUTO_TEST_CASE(OlderRevisionChangesNothing)
+{
+    // Guards against a late answer that takes a drain back.
+    auto draining = entry(1, 5);
+    draining.upstream.state = Model::UpstreamState::Draining;
+    BOOST_TEST(directory.applyUpstream(draining));
+    BOOST_TEST(!directory.applyUpstream(entry(1, 4)));
+    BOOST_TEST(!isOpenable(1));
+    BOOST_TEST(!directory.removeUpstream(Core::UpstreamId { 1 }, Core::Revision { 5 }));
+    BOOST_TEST(events.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OlderRouteVersionIsRefused)
+{
+    // Guards against a configuration that reverts.
+    Directory::RouteTable table;
+    table.version = 7;
+    BOOST_TEST(directory.applyRoutes(table));
+    table.version = 6;
+    BOOST_TEST(!directory.applyRoutes(table));
+    BOOST_TEST(directory.version() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedUpstreamKeepsItsToken)
+{
+    // Guards against flows of an upstream whose entry lapsed while the store was away.
+    directory.applyUpstream(entry(1, 1));
+    auto token = directory.find(Core::UpstreamId { 1 })->token;
+    directory.removeUpstream(Core::UpstreamId { 1 }, Core::Revision { 2 });
+    BOOST_TEST(!isOpenable(1));
+    BOOST_REQUIRE(directory.findByToken(token));
+    directory.applyUpstream(entry(1, 3));
+    BOOST_TEST(isOpenable(1));
+    BOOST_TEST(events.back() == "listed u1");
+}
+
+BOOST_AUTO_TEST_CASE(ReusedAddressEndsItsFormerHolder)
+{
+    // Guards against packets for an upstream whose address belongs to another service now.
+    directory.applyUpstream(entry(1, 1));
+    auto other = entry(2, 2, "10.0.0.1:80");
+    other.service = Directory::serviceId("packs");
+    directory.applyUpstream(other);
+    auto const& former = *directory.find(Core::UpstreamId { 1 });
+    BOOST_TEST(former.isSuperseded);
+    BOOST_TEST(!former.isListed);
+    BOOST_TEST(isOpenable(2));
+    BOOST_TEST(events.back() == "unlisted u1");
+}
+
+BOOST_AUTO_TEST_CASE(LateEntryOfAFormerHolderDoesNotTakeTheAddress)
+{
+    // Guards against entries that arrive in another order than they were written in.
+    directory.applyUpstream(entry(2, 2, "10.0.0.1:80"));
+    directory.applyUpstream(entry(1, 1));
+    BOOST_TEST(isOpenable(2));
+    BOOST_TEST(!isOpenable(1));
+}
+
+BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdIsReported)
+{
+    // Guards against flows that wait for a process that has ended.
+    directory.applyUpstream(entry(1, 1));
+    directory.applyUpstream(entry(1, 2));
+    BOOST_TEST(events.back() == "restarted u1");
+}
+
+BOOST_AUTO_TEST_CASE(SlowStartCountsDownFromReceipt)
+{
+    // Guards against full load on an upstream that has just started.
+    auto cold = entry(1, 1);
+    cold.coldFor = 1500ms;
+    directory.applyUpstream(cold);
+    BOOST_TEST(isCold(1));
+    clock.advance(1499ms);
+    BOOST_TEST(isCold(1));
+    clock.advance(1ms);
+    BOOST_TEST(!isCold(1));
+}
+
+BOOST_AUTO_TEST_CASE(ReturningZoneIsHeldBack)
+{
+    // Guards against full load on upstreams that turned cold while their zone was out.
+    directory.applyUpstream(entry(1, 1));
+    directory.setZoneOut(ZoneA, true);
+    BOOST_TEST(!isOpenable(1));
+    directory.setZoneOut(ZoneA, false);
+    BOOST_TEST(isOpenable(1));
+    BOOST_TEST(isCold(1));
+    clock.advance(2s);
+    BOOST_TEST(!isCold(1));
+}
+
+BOOST_AUTO_TEST_CASE(DroppedRecordsAreForgotten)
+{
+    // Guards against memory that grows with each replaced upstream.
+    directory.applyUpstream(entry(1, 1));
+    directory.removeUpstream(Core::UpstreamId { 1 }, Core::Revision { 2 });
+    clock.advance(121s);
+    directory.sweep();
+    BOOST_TEST(directory.upstreamCount() == 0U);
+    BOOST_TEST(directory.upstreamsOf(Register).empty());
+}
+
+BOOST_AUTO_TEST_CASE(SplitFollowsTheWeights)
+{
+    // Guards against a route that sends a service more than its share.
+    auto other = Directory::serviceId("packs");
+    Directory::Route route { "r", {}, { { Register, 90 }, { other, 10 } } };
+    std::size_t others = 0;
+    for (std::uint64_t hash = 0; hash < 1000; ++hash)
+        others += route.serviceFor(hash) == other ? 1 : 0;
+    BOOST_TEST(others == 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
