LibPlacement, LibLoad: Add placement by routing tokens

Where packets carry a token that both ends return, any balancer finds a flow's upstream without a record, so bucket owners, backups and copies are not needed. Opens are decided where they arrive; a copy of an open goes elsewhere once the first upstream has had 150 ms to answer. UpstreamLiveness suspects upstreams whose requests get no answer and confirms by connection probes before their flows are given up.

Cause of two faults found on the way, each with a test: a request and its silence check read the clock twice and never matched, so that no silent upstream was suspected; an acknowledgement that comes with a later request counted as a sign of life.

--- a/Libraries/LibCore/FlowKey.h
+++ b/Libraries/LibCore/FlowKey.h
@@ -22,6 +22,11 @@
     Hash128 hash(std::uint64_t key) const;
 
     friend auto operator<=>(FlowKey const&, FlowKey const&) = default;
+
+    template <typename H> friend H AbslHashValue(H state, FlowKey const& key)
+    {
+        return H::combine(std::move(state), key.source, key.destination, key.protocol);
+    }
 };
 
 }
--- a/Libraries/LibLoad/Load.h
+++ b/Libraries/LibLoad/Load.h
@@ -5,3 +5,6 @@
 
 #include <LibLoad/LoadController.h>
 #include <LibLoad/LoadTypes.h>
+#include <LibLoad/LocalChoice.h>
+#include <LibLoad/LocalLoad.h>
+#include <LibLoad/UpstreamLiveness.h>
--- /dev/null
+++ b/Libraries/LibLoad/LocalChoice.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibCore/Core.h>
+#include <LibDirectory/Directory.h>
+#include <LibLoad/LocalLoad.h>
+#include <LibLoad/UpstreamLiveness.h>
+
+#include <cstdint>
+#include <random>
+
+namespace Chicorytally::Load {
+
+struct LocalChoiceOptions {
+    /// Zone of this balancer, whose upstreams come first.
+    Core::ZoneId zone;
+    /// Requests in flight per slot from which the least loaded upstream of the zone no longer comes before those of
+    /// other zones.
+    double spillLoad { 1.0 };
+    std::uint64_t randomSeed { 0 };
+};
+
+/// Chooses the upstream of a new flow by what this balancer knows alone: least flows per slot first, in its own zone
+/// while that has room. Not thread-safe.
+class LocalChoice {
+public:
+    LocalChoice(LocalChoiceOptions, Directory::UpstreamDirectory const&, LocalLoad const&, UpstreamLiveness const&);
+
+    /// Nothing when no upstream of the service may get a new flow. The excluded upstream is chosen only if there is no
+    /// other.
+    Directory::UpstreamRecord const* choose(Core::ServiceId, Core::UpstreamId excluded);
+
+private:
+    struct Candidate {
+        Directory::UpstreamRecord const* record { nullptr };
+        double flowsPerSlot { 0 };
+        double requestsPerSlot { 0 };
+        std::uint64_t tieBreak { 0 };
+    };
+
+    Candidate candidate(Directory::UpstreamRecord const&);
+    Directory::UpstreamRecord const* chooseAmong(Core::ServiceId, Core::UpstreamId excluded, Liveness worst);
+
+    LocalChoiceOptions m_options;
+    Directory::UpstreamDirectory const& m_directory;
+    LocalLoad const& m_load;
+    UpstreamLiveness const& m_liveness;
+    std::mt19937_64 m_random;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/LocalLoad.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+
+namespace Chicorytally::Load {
+
+/// Flows and requests of one upstream, as far as their packets pass this balancer.
+struct UpstreamLoad {
+    std::uint32_t openFlows { 0 };
+    /// Requests that were forwarded and whose answer the caller has not acknowledged.
+    std::uint32_t requestsInFlight { 0 };
+};
+
+/// Counts flows and requests in flight per upstream. Not thread-safe.
+class LocalLoad {
+public:
+    void flowOpened(Core::UpstreamId upstream) { ++m_loads[upstream].openFlows; }
+    void flowClosed(Core::UpstreamId upstream) { --m_loads[upstream].openFlows; }
+    void requestStarted(Core::UpstreamId upstream) { ++m_loads[upstream].requestsInFlight; }
+    void requestEnded(Core::UpstreamId upstream) { --m_loads[upstream].requestsInFlight; }
+    void forget(Core::UpstreamId upstream) { m_loads.erase(upstream); }
+
+    UpstreamLoad of(Core::UpstreamId upstream) const
+    {
+        auto load = m_loads.find(upstream);
+        return load == m_loads.end() ? UpstreamLoad {} : load->second;
+    }
+
+private:
+    absl::flat_hash_map<Core::UpstreamId, UpstreamLoad> m_loads;
+};
+
+}
--- a/Libraries/LibPlacement/Decision.cpp
+++ b/Libraries/LibPlacement/Decision.cpp
@@ -52,6 +52,12 @@
         return "upstream_gone";
     case Reason::HopLimit:
         return "hop_limit";
+    case Reason::Token:
+        return "token";
+    case Reason::RepeatedOpen:
+        return "repeated_open";
+    case Reason::UnknownToken:
+        return "unknown_token";
     }
     return "unknown";
 }
--- a/Libraries/LibPlacement/Decision.h
+++ b/Libraries/LibPlacement/Decision.h
@@ -59,10 +59,13 @@
     AvailabilityZoneOut,
     UpstreamGone,
     HopLimit,
+    Token,
+    RepeatedOpen,
+    UnknownToken,
 };
 
 inline constexpr std::size_t VerdictCount = static_cast<std::size_t>(Verdict::Drop) + 1;
-inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::HopLimit) + 1;
+inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::UnknownToken) + 1;
 
 std::string_view toString(Verdict);
 std::string_view toString(Reason);
--- a/Libraries/LibPlacement/Placement.h
+++ b/Libraries/LibPlacement/Placement.h
@@ -5,3 +5,4 @@
 #include <LibPlacement/Decision.h>
 #include <LibPlacement/Engine.h>
 #include <LibPlacement/MemberView.h>
+#include <LibPlacement/TokenPlacer.h>
--- /dev/null
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -0,0 +1,185 @@
+#include <LibPlacement/TokenFlowTable.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chicorytally::Placement {
+
+// Sequence numbers wrap around (RFC 9293, section 3.4).
+static bool isAfter(std::uint32_t left, std::uint32_t right) { return static_cast<std::int32_t>(left - right) > 0; }
+
+TokenFlowTable::TokenFlowTable(Core::Clock const& clock, std::size_t maximumFlows, TokenFlowHooks hooks)
+    : m_clock(clock)
+    , m_maximumFlows(maximumFlows)
+    , m_hooks(std::move(hooks))
+{
+}
+
+TokenFlow const* TokenFlowTable::find(Core::FlowKey const& key) const
+{
+    auto flow = m_flows.find(key);
+    return flow == m_flows.end() ? nullptr : &flow->second;
+}
+
+TokenFlow* TokenFlowTable::add(Core::FlowKey const& key, Core::UpstreamId upstream)
+{
+    if (m_flows.size() >= m_maximumFlows)
+        return nullptr;
+    auto& flow = m_flows[key];
+    flow.upstream = upstream;
+    flow.openedAt = m_clock.now();
+    m_hooks.opened(upstream);
+    return &flow;
+}
+
+void TokenFlowTable::moveTo(TokenFlow& flow, Core::UpstreamId upstream)
+{
+    endCounts(flow);
+    flow.requestSince.reset();
+    flow.isClosed = false;
+    flow.upstream = upstream;
+    m_hooks.opened(upstream);
+}
+
+void TokenFlowTable::endCounts(TokenFlow const& flow)
+{
+    if (flow.isClosed)
+        return;
+    if (flow.requestSince)
+        m_hooks.requestDropped(flow.upstream);
+    m_hooks.closed(flow.upstream);
+}
+
+void TokenFlowTable::recordOpen(Core::FlowKey const& key, Core::UpstreamId upstream)
+{
+    auto position = m_flows.find(key);
+    auto* flow = position == m_flows.end() ? add(key, upstream) : &position->second;
+    if (!flow)
+        return;
+    if (flow->upstream != upstream)
+        moveTo(*flow, upstream);
+    flow->openedAt = m_clock.now();
+    flow->lastPacketAt = m_clock.now();
+}
+
+bool TokenFlowTable::recordPacket(Core::FlowKey const& key, Core::UpstreamId upstream, std::uint32_t sequence,
+    std::uint32_t acknowledgement, std::uint16_t length)
+{
+    auto position = m_flows.find(key);
+    bool isNew = position == m_flows.end();
+    auto* flow = isNew ? add(key, upstream) : &position->second;
+    if (!flow)
+        return false;
+    if (flow->upstream != upstream) {
+        moveTo(*flow, upstream);
+        isNew = true;
+    }
+    flow->lastPacketAt = m_clock.now();
+    if (flow->isClosed)
+        return false;
+    bool isFirst = !std::exchange(flow->isEstablished, true);
+    // A flow that another balancer opened may be a retransmission to an upstream that is gone.
+    bool isProgress = !isNew && (isFirst || isAfter(acknowledgement, flow->acknowledgement));
+    if (isNew)
+        flow->acknowledgement = acknowledgement;
+    if (isProgress) {
+        flow->acknowledgement = acknowledgement;
+        if (flow->requestSince)
+            m_hooks.requestAnswered(upstream, m_clock.now() - *flow->requestSince);
+        flow->requestSince.reset();
+    }
+    auto end = sequence + length;
+    if (length != 0 && (isFirst || isAfter(end, flow->sentUpTo))) {
+        flow->sentUpTo = end;
+        if (!flow->requestSince)
+            startRequest(key, *flow);
+    }
+    // A caller may acknowledge an answer long after it arrived, with its next request.
+    return isProgress && (isFirst || length == 0);
+}
+
+void TokenFlowTable::startRequest(Core::FlowKey const& key, TokenFlow& flow)
+{
+    auto now = m_clock.now();
+    flow.requestSince = now;
+    m_checks.push_back({ key, now });
+    m_hooks.requestStarted(flow.upstream);
+}
+
+void TokenFlowTable::close(Core::FlowKey const& key)
+{
+    auto position = m_flows.find(key);
+    if (position == m_flows.end())
+        return;
+    endCounts(position->second);
+    position->second.requestSince.reset();
+    position->second.isClosed = true;
+}
+
+void TokenFlowTable::remove(Core::FlowKey const& key)
+{
+    auto flow = m_flows.find(key);
+    if (flow == m_flows.end())
+        return;
+    endCounts(flow->second);
+    m_flows.erase(flow);
+}
+
+std::vector<std::pair<Core::FlowKey, std::uint32_t>> TokenFlowTable::removeAll(Core::UpstreamId upstream)
+{
+    std::vector<std::pair<Core::FlowKey, std::uint32_t>> established;
+    absl::erase_if(m_flows, [&](auto const& entry) {
+        auto const& [key, flow] = entry;
+        if (flow.upstream != upstream)
+            return false;
+        if (flow.isEstablished && !flow.isClosed)
+            established.emplace_back(key, flow.acknowledgement);
+        endCounts(flow);
+        return true;
+    });
+    return established;
+}
+
+bool TokenFlowTable::holdsFlowOf(Core::UpstreamId upstream) const
+{
+    return std::ranges::any_of(
+        m_flows, [&](auto const& entry) { return entry.second.upstream == upstream && !entry.second.isClosed; });
+}
+
+std::vector<TokenFlowTable::Silent> TokenFlowTable::takeSilent(std::chrono::milliseconds limit)
+{
+    std::vector<Silent> silent;
+    while (!m_checks.empty() && m_clock.now() - m_checks.front().since >= limit) {
+        auto check = m_checks.front();
+        m_checks.pop_front();
+        auto position = m_flows.find(check.flow);
+        if (position == m_flows.end() || position->second.requestSince != check.since)
+            continue;
+        silent.push_back({ check.flow, position->second.upstream, check.since });
+    }
+    return silent;
+}
+
+void TokenFlowTable::restartRequests()
+{
+    m_checks.clear();
+    auto now = m_clock.now();
+    for (auto& [key, flow] : m_flows) {
+        if (!flow.requestSince)
+            continue;
+        flow.requestSince = now;
+        m_checks.push_back({ key, now });
+    }
+}
+
+void TokenFlowTable::expire(std::chrono::milliseconds idleTimeout)
+{
+    absl::erase_if(m_flows, [&](auto const& entry) {
+        if (m_clock.now() - entry.second.lastPacketAt < idleTimeout)
+            return false;
+        endCounts(entry.second);
+        return true;
+    });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <LibCore/Core.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace Chicorytally::Placement {
+
+/// What a balancer remembers of a flow whose packets pass it. It routes nothing by this but copies of opening packets:
+/// losing it costs no flow.
+struct TokenFlow {
+    Core::UpstreamId upstream;
+    Core::TimePoint openedAt;
+    Core::TimePoint lastPacketAt;
+    /// When the request in flight was first forwarded; nothing while none is.
+    std::optional<Core::TimePoint> requestSince;
+    /// Last acknowledgement number of the caller: a reset must lie near it.
+    std::uint32_t acknowledgement { 0 };
+    /// Sequence number after the last byte that the caller sent.
+    std::uint32_t sentUpTo { 0 };
+    /// The caller has sent a packet other than an opening one.
+    bool isEstablished { false };
+    /// The caller has closed or reset the flow; it no longer counts as open, but its last packets may still come.
+    bool isClosed { false };
+};
+
+struct TokenFlowHooks {
+    std::function<void(Core::UpstreamId)> opened;
+    std::function<void(Core::UpstreamId)> closed;
+    std::function<void(Core::UpstreamId)> requestStarted;
+    /// The first bytes of the answer were acknowledged after this time.
+    std::function<void(Core::UpstreamId, std::chrono::nanoseconds)> requestAnswered;
+    /// The flow ended while the request was in flight.
+    std::function<void(Core::UpstreamId)> requestDropped;
+};
+
+/// The flows that passed this balancer recently. Not thread-safe.
+class TokenFlowTable {
+public:
+    struct Silent {
+        Core::FlowKey flow;
+        Core::UpstreamId upstream;
+        Core::TimePoint since;
+    };
+
+    TokenFlowTable(Core::Clock const&, std::size_t maximumFlows, TokenFlowHooks);
+
+    TokenFlow const* find(Core::FlowKey const&) const;
+    /// Records an opening packet that goes to the upstream. Does nothing when the table is full.
+    void recordOpen(Core::FlowKey const&, Core::UpstreamId);
+    /// Records another packet of the caller that goes to the upstream. True when it shows that the upstream answers at
+    /// present: an acknowledgement of new data without a request, or the first packet after an opening one that was
+    /// recorded here.
+    bool recordPacket(Core::FlowKey const&, Core::UpstreamId, std::uint32_t sequence, std::uint32_t acknowledgement,
+        std::uint16_t length);
+    /// The caller has sent its last data; the record goes away when it expires.
+    void close(Core::FlowKey const&);
+    void remove(Core::FlowKey const&);
+    /// Removes the flows of an upstream and returns the established ones with their acknowledgement numbers.
+    std::vector<std::pair<Core::FlowKey, std::uint32_t>> removeAll(Core::UpstreamId);
+    bool holdsFlowOf(Core::UpstreamId) const;
+    /// Flows whose request has been in flight for the limit since it was last reported.
+    std::vector<Silent> takeSilent(std::chrono::milliseconds limit);
+    /// The process was paused: the time of the pause does not count as silence.
+    void restartRequests();
+    /// Removes flows without packets for the timeout.
+    void expire(std::chrono::milliseconds idleTimeout);
+    std::size_t size() const { return m_flows.size(); }
+
+private:
+    using Flows = absl::flat_hash_map<Core::FlowKey, TokenFlow>;
+
+    struct Check {
+        Core::FlowKey flow;
+        Core::TimePoint since;
+    };
+
+    TokenFlow* add(Core::FlowKey const&, Core::UpstreamId);
+    void moveTo(TokenFlow&, Core::UpstreamId);
+    void startRequest(Core::FlowKey const&, TokenFlow&);
+    void endCounts(TokenFlow const&);
+
+    Core::Clock const& m_clock;
+    std::size_t m_maximumFlows;
+    TokenFlowHooks m_hooks;
+    Flows m_flows;
+    /// Requests in the order of their start; entries whose request has ended are skipped.
+    std::deque<Check> m_checks;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -0,0 +1,83 @@
+#include <LibPlacement/TokenPlacer.h>
+
+namespace Chicorytally::Placement {
+
+// Tokens that nobody gave out must not fill the memory.
+static constexpr std::size_t MaxUnknownTokens = 4096;
+
+TokenPlacer::TokenPlacer(Core::Clock const& clock, TokenPlacerOptions options,
+    Directory::UpstreamDirectory const& directory, TokenFlowTable& flows, TokenPlacerHooks hooks)
+    : m_clock(clock)
+    , m_options(options)
+    , m_directory(directory)
+    , m_flows(flows)
+    , m_hooks(std::move(hooks))
+{
+}
+
+TokenDecision TokenPlacer::decide(TokenPacket const& packet)
+{
+    if (m_directory.version() == 0)
+        return { Verdict::Drop, Reason::NotSynchronised };
+    auto const* route = m_directory.findRoute(packet.flow.destination);
+    if (!route) {
+        m_flows.remove(packet.flow);
+        bool isOpen = packet.kind == PacketKind::Open;
+        return { isOpen ? Verdict::Refuse : Verdict::Reset, Reason::UnknownService };
+    }
+    return packet.kind == PacketKind::Open ? decideOpen(packet, *route) : decideLater(packet);
+}
+
+TokenDecision TokenPlacer::decideOpen(TokenPacket const& packet, Directory::Route const& route)
+{
+    auto const* flow = m_flows.find(packet.flow);
+    auto const* former = flow ? m_directory.find(flow->upstream) : nullptr;
+    Core::UpstreamId excluded;
+    if (former) {
+        bool isRecent = m_clock.now() - flow->openedAt < m_options.repeatInterval;
+        if (flow->isEstablished || isRecent)
+            return { Verdict::Forward, Reason::RepeatedOpen, former, former->token };
+        m_hooks.openUnanswered(flow->upstream, flow->openedAt);
+        excluded = flow->upstream;
+    }
+    auto const* chosen = m_hooks.choose(route.serviceFor(packet.flow.hash(0).low), excluded);
+    if (!chosen)
+        return { Verdict::Drop, Reason::NoUpstream };
+    m_flows.recordOpen(packet.flow, chosen->entry.upstream.id);
+    return { Verdict::Forward, former ? Reason::RepeatedOpen : Reason::NewFlow, chosen, chosen->token };
+}
+
+TokenDecision TokenPlacer::decideLater(TokenPacket const& packet)
+{
+    auto const* record = m_directory.findByToken(packet.token);
+    if (!record)
+        return decideUnknown(packet);
+    auto id = record->entry.upstream.id;
+    if (m_flows.recordPacket(packet.flow, id, packet.sequence, packet.acknowledgement, packet.length))
+        m_hooks.progressed(id);
+    if (record->isSuperseded || m_hooks.isLost(id)) {
+        m_flows.remove(packet.flow);
+        return { Verdict::Reset, Reason::UpstreamGone, record };
+    }
+    if (packet.kind == PacketKind::Close)
+        m_flows.close(packet.flow);
+    return { Verdict::Forward, Reason::Token, record, record->token };
+}
+
+TokenDecision TokenPlacer::decideUnknown(TokenPacket const& packet)
+{
+    if (m_unknownSince.size() >= MaxUnknownTokens)
+        return { Verdict::Drop, Reason::UnknownToken };
+    auto since = m_unknownSince.try_emplace(packet.token, m_clock.now()).first->second;
+    bool isWaitOver = m_completeSince && m_clock.now() - *m_completeSince >= m_options.unknownTokenWait
+        && m_clock.now() - since >= m_options.repeatInterval;
+    return { isWaitOver ? Verdict::Reset : Verdict::Drop, Reason::UnknownToken };
+}
+
+void TokenPlacer::sweep()
+{
+    absl::erase_if(m_unknownSince,
+        [&](auto const& entry) { return m_clock.now() - entry.second > 4 * m_options.unknownTokenWait; });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Core.h>
+#include <LibDirectory/Directory.h>
+#include <LibPlacement/Decision.h>
+#include <LibPlacement/TokenFlowTable.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+namespace Chicorytally::Placement {
+
+/// What the placer needs to know of one packet of a caller.
+struct TokenPacket {
+    Core::FlowKey flow;
+    PacketKind kind { PacketKind::Data };
+    Directory::RoutingToken token { 0 };
+    std::uint32_t sequence { 0 };
+    std::uint32_t acknowledgement { 0 };
+    /// Bytes of data.
+    std::uint16_t length { 0 };
+};
+
+struct TokenDecision {
+    Verdict verdict { Verdict::Drop };
+    Reason reason { Reason::UnknownService };
+    /// Valid until the directory changes; set for Forward, and for Reset where the upstream is known.
+    Directory::UpstreamRecord const* upstream { nullptr };
+    /// To be written into the packet; set for Forward.
+    Directory::RoutingToken token { 0 };
+};
+
+struct TokenPlacerOptions {
+    /// Flows that are remembered at most; further ones are forwarded all the same.
+    std::size_t maximumFlows { 100'000 };
+    /// A copy of an opening packet that comes sooner goes to the same upstream, whose answer may be under way. Callers
+    /// repeat after 200 ms at the earliest.
+    std::chrono::milliseconds repeatInterval { 150 };
+    /// How long a token must have been unknown, and the directory complete, before its flows are reset: entries that
+    /// lapsed while the store was away return within 2 s.
+    std::chrono::milliseconds unknownTokenWait { 3000 };
+};
+
+struct TokenPlacerHooks {
+    /// The upstream of a new flow, with one that did not answer an earlier copy of the opening packet.
+    std::function<Directory::UpstreamRecord const*(Core::ServiceId, Core::UpstreamId excluded)> choose;
+    /// The flows of the upstream are lost: neither traffic nor probes get an answer.
+    std::function<bool(Core::UpstreamId)> isLost;
+    /// The caller acknowledged new data of the upstream.
+    std::function<void(Core::UpstreamId)> progressed;
+    /// The caller repeated its opening packet, which the upstream got at the time.
+    std::function<void(Core::UpstreamId, Core::TimePoint)> openUnanswered;
+};
+
+/// Decides each packet by the routing token that it carries; opening packets are decided where they arrive. No record
+/// of a flow is needed on any balancer, so none is copied and none is lost. Not thread-safe.
+class TokenPlacer {
+public:
+    TokenPlacer(
+        Core::Clock const&, TokenPlacerOptions, Directory::UpstreamDirectory const&, TokenFlowTable&, TokenPlacerHooks);
+
+    TokenDecision decide(TokenPacket const&);
+    /// Since when the directory holds every upstream that the discovery service lists; nothing while it may lack some.
+    void setCompleteSince(std::optional<Core::TimePoint> time) { m_completeSince = time; }
+    /// Forgets when tokens were first seen unknown, once they can no longer matter.
+    void sweep();
+
+private:
+    TokenDecision decideOpen(TokenPacket const&, Directory::Route const&);
+    TokenDecision decideLater(TokenPacket const&);
+    TokenDecision decideUnknown(TokenPacket const&);
+
+    Core::Clock const& m_clock;
+    TokenPlacerOptions m_options;
+    Directory::UpstreamDirectory const& m_directory;
+    TokenFlowTable& m_flows;
+    TokenPlacerHooks m_hooks;
+    std::optional<Core::TimePoint> m_completeSince;
+    absl::flat_hash_map<Directory::RoutingToken, Core::TimePoint> m_unknownSince;
+};
+
+}
--- /dev/null
+++ b/Tests/LibLoad/TestLocalChoice.cpp
@@ -0,0 +1,106 @@
+#include <LibLoad/Load.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::ServiceId const Register = Directory::serviceId("register");
+Core::ZoneId const Here { 1 };
+Core::ZoneId const There { 2 };
+
+struct Fixture {
+    Core::ManualClock clock;
+    Directory::UpstreamDirectory directory { clock, {}, {} };
+    Load::LocalLoad load;
+    Load::UpstreamLiveness liveness { clock, {},
+        { .startProbe = [](auto) {}, .lost = [](auto, auto, auto) {}, .regained = [](auto) {} } };
+    Load::LocalChoice choice { { .zone = Here, .randomSeed = 1 }, directory, load, liveness };
+
+    void add(std::uint64_t id, Core::ZoneId zone, std::chrono::milliseconds coldFor = 0ms)
+    {
+        Directory::UpstreamEntry entry;
+        entry.upstream.id = Core::UpstreamId { id };
+        entry.upstream.address = *Core::Endpoint::parse("10.0.0." + std::to_string(id) + ":80");
+        entry.upstream.zone = zone;
+        entry.upstream.slots = 4;
+        entry.service = Register;
+        entry.coldFor = coldFor;
+        entry.revision = Core::Revision { id };
+        directory.applyUpstream(entry);
+    }
+
+    std::uint64_t choose(std::uint64_t excluded = 0)
+    {
+        auto const* record = choice.choose(Register, Core::UpstreamId { excluded });
+        return record ? record->entry.upstream.id.value() : 0;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(LocalChoice, Fixture)
+
+BOOST_AUTO_TEST_CASE(FlowsAreSpreadOverTheZone)
+{
+    // Guards against upstreams of the own zone that get uneven shares, and against needless traffic between zones.
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        add(id, id == 4 ? There : Here);
+    std::map<std::uint64_t, unsigned> flows;
+    for (int i = 0; i < 300; ++i) {
+        auto id = choose();
+        load.flowOpened(Core::UpstreamId { id });
+        ++flows[id];
+    }
+    BOOST_TEST(flows.size() == 3U);
+    for (auto const& [id, count] : flows)
+        BOOST_TEST(count == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(FullZoneSpillsOver)
+{
+    // Guards against requests that queue while other zones are idle.
+    add(1, Here);
+    add(2, There);
+    for (int i = 0; i < 4; ++i)
+        load.requestStarted(Core::UpstreamId { 1 });
+    BOOST_TEST(choose() == 2U);
+    load.requestEnded(Core::UpstreamId { 1 });
+    BOOST_TEST(choose() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ColdUpstreamGetsNothing)
+{
+    // Guards against full load on an upstream that has just started.
+    add(1, Here, 1s);
+    BOOST_TEST(choose() == 0U);
+    add(2, There);
+    BOOST_TEST(choose() == 2U);
+    clock.advance(1s);
+    BOOST_TEST(choose() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SuspectsComeLast)
+{
+    // Guards against opens to an upstream that is dead, and against none at all when every one looks dead.
+    add(1, Here);
+    add(2, There);
+    liveness.suspect(Core::UpstreamId { 1 }, Load::Suspicion::SilentRequests, clock.now());
+    BOOST_TEST(choose() == 2U);
+    liveness.probeEnded(Core::UpstreamId { 1 }, Load::LivenessProbe::Refused);
+    BOOST_TEST(choose(2) == 1U);
+    BOOST_TEST(choose(1) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ExcludedUpstreamIsTakenIfItIsTheOnlyOne)
+{
+    // Guards against a service of one upstream that loses an opening packet.
+    add(1, Here);
+    BOOST_TEST(choose(1) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -0,0 +1,130 @@
+#include <LibLoad/Load.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Load::Liveness;
+using Load::LivenessProbe;
+using Load::Suspicion;
+
+namespace {
+
+Core::UpstreamId const Upstream { 1 };
+
+struct Fixture {
+    Core::ManualClock clock;
+    unsigned probes { 0 };
+    unsigned lost { 0 };
+    unsigned regained { 0 };
+    Load::UpstreamLiveness liveness { clock, {},
+        { .startProbe = [this](auto) { ++probes; },
+            .lost = [this](auto, auto, auto) { ++lost; },
+            .regained = [this](auto) { ++regained; } } };
+
+    void suspect() { liveness.suspect(Upstream, Suspicion::SilentRequests, clock.now() - 200ms); }
+};
+
+struct ProbeCase {
+    char const* name;
+    std::vector<LivenessProbe> results;
+    Liveness expected;
+    unsigned expectedLosses;
+};
+
+std::ostream& operator<<(std::ostream& stream, ProbeCase const& testCase) { return stream << testCase.name; }
+
+ProbeCase const ProbeCases[] {
+    { "answered", { LivenessProbe::Answered }, Liveness::Alive, 0 },
+    { "refused", { LivenessProbe::Refused }, Liveness::Unreachable, 1 },
+    { "one loss", { LivenessProbe::NoAnswer, LivenessProbe::Answered }, Liveness::Alive, 0 },
+    { "two losses", { LivenessProbe::NoAnswer, LivenessProbe::NoAnswer }, Liveness::Unreachable, 1 },
+    { "not made", { LivenessProbe::NotMade }, Liveness::Suspect, 0 },
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamLiveness, Fixture)
+
+BOOST_DATA_TEST_CASE_F(Fixture, ProbesDecide, boost::unit_test::data::make(ProbeCases), testCase)
+{
+    // Guards against flows that are given up though their upstream lives.
+    suspect();
+    for (auto result : testCase.results)
+        liveness.probeEnded(Upstream, result);
+    BOOST_CHECK(liveness.of(Upstream) == testCase.expected);
+    BOOST_TEST(lost == testCase.expectedLosses);
+}
+
+BOOST_AUTO_TEST_CASE(ProgressAfterTheSilenceBeganIsNoSuspicion)
+{
+    // Guards against probes of an upstream that is slow with a single request.
+    clock.advance(1s);
+    liveness.noteProgress(Upstream);
+    clock.advance(100ms);
+    suspect();
+    BOOST_TEST(probes == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowUpstreamIsNotProbedAllTheTime)
+{
+    // Guards against probes that cost more than they tell.
+    for (auto end = clock.now() + 5s; clock.now() < end; clock.advance(50ms)) {
+        suspect();
+        liveness.probeEnded(Upstream, LivenessProbe::Answered);
+    }
+    BOOST_TEST(probes <= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableUpstreamIsProbedUntilItAnswers)
+{
+    // Guards against an upstream that stays unused after a link was cut for a while.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbe::Refused);
+    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(50ms)) {
+        auto before = probes;
+        liveness.tick();
+        if (probes != before)
+            liveness.probeEnded(Upstream, LivenessProbe::NoAnswer);
+    }
+    BOOST_TEST(probes >= 5U);
+    BOOST_TEST(probes <= 9U);
+    BOOST_TEST(lost == 1U);
+    clock.advance(2s);
+    liveness.tick();
+    liveness.probeEnded(Upstream, LivenessProbe::Answered);
+    BOOST_TEST(regained == 1U);
+    BOOST_CHECK(liveness.of(Upstream) == Liveness::Alive);
+}
+
+BOOST_AUTO_TEST_CASE(UnlistedUpstreamIsProbedUntilItEnds)
+{
+    // Guards against resets for an upstream whose entry lapsed but which goes on serving.
+    liveness.noteProgress(Upstream);
+    liveness.noteUnlisted(Upstream);
+    BOOST_TEST(probes == 1U);
+    liveness.probeEnded(Upstream, LivenessProbe::Answered);
+    BOOST_TEST(lost == 0U);
+    clock.advance(1s);
+    liveness.tick();
+    BOOST_TEST(probes == 2U);
+    liveness.probeEnded(Upstream, LivenessProbe::Refused);
+    BOOST_TEST(lost == 1U);
+    clock.advance(60s);
+    liveness.tick();
+    BOOST_TEST(probes == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(TrafficRevivesAnUpstream)
+{
+    // Guards against resets of flows that get answers.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbe::Refused);
+    liveness.noteProgress(Upstream);
+    BOOST_CHECK(liveness.of(Upstream) == Liveness::Alive);
+    BOOST_TEST(regained == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -0,0 +1,301 @@
+#include <LibPlacement/Placement.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Placement::PacketKind;
+using Placement::Reason;
+using Placement::Verdict;
+
+namespace {
+
+Core::ServiceId const Register = Directory::serviceId("register");
+auto const Address = *Core::Endpoint::parse("198.18.0.1:443");
+
+Directory::UpstreamEntry entry(std::uint64_t id, std::uint64_t revision = 1)
+{
+    Directory::UpstreamEntry entry;
+    entry.upstream.id = Core::UpstreamId { id };
+    entry.upstream.address = *Core::Endpoint::parse("10.0.0." + std::to_string(id) + ":80");
+    entry.service = Register;
+    entry.revision = Core::Revision { revision };
+    return entry;
+}
+
+Directory::RouteTable routes(std::uint64_t version, bool hasRoute = true)
+{
+    Directory::RouteTable table;
+    table.version = version;
+    if (hasRoute)
+        table.routes.emplace(Address, Directory::Route { "r", Address, { { Register, 1 } } });
+    return table;
+}
+
+struct Fixture {
+    Core::ManualClock clock;
+    std::map<std::uint64_t, int> openFlows;
+    std::map<std::uint64_t, int> requests;
+    std::set<std::uint64_t> lost;
+    unsigned progress { 0 };
+    unsigned unanswered { 0 };
+    Directory::UpstreamDirectory directory { clock, {}, {} };
+    Placement::TokenFlowTable flows { clock, 1000,
+        { .opened = [this](auto id) { ++openFlows[id.value()]; },
+            .closed = [this](auto id) { --openFlows[id.value()]; },
+            .requestStarted = [this](auto id) { ++requests[id.value()]; },
+            .requestAnswered = [this](auto id, auto) { --requests[id.value()]; },
+            .requestDropped = [this](auto id) { --requests[id.value()]; } } };
+    Placement::TokenPlacer placer { clock, {}, directory, flows,
+        { .choose =
+                [this](auto service, auto excluded) {
+                    for (auto const* record : directory.upstreamsOf(service)) {
+                        if (record->entry.upstream.id != excluded && directory.isOpenable(*record))
+                            return record;
+                    }
+                    return static_cast<Directory::UpstreamRecord const*>(nullptr);
+                },
+            .isLost = [this](auto id) { return lost.contains(id.value()); },
+            .progressed = [this](auto) { ++progress; },
+            .openUnanswered = [this](auto, auto) { ++unanswered; } } };
+
+    Fixture()
+    {
+        directory.applyRoutes(routes(1));
+        directory.applyUpstream(entry(1));
+        directory.applyUpstream(entry(2));
+        placer.setCompleteSince(clock.now());
+    }
+
+    static Placement::TokenPacket packet(PacketKind kind, std::uint16_t port = 4000)
+    {
+        Placement::TokenPacket packet;
+        packet.flow = { { *Core::IpAddress::parse("100.64.0.7"), port }, Address };
+        packet.kind = kind;
+        return packet;
+    }
+
+    Placement::TokenPacket data(
+        std::uint64_t upstream, std::uint32_t sequence, std::uint32_t acknowledgement, std::uint16_t length)
+    {
+        auto result = packet(PacketKind::Data);
+        result.token = Directory::routingToken(Core::UpstreamId { upstream });
+        result.sequence = sequence;
+        result.acknowledgement = acknowledgement;
+        result.length = length;
+        return result;
+    }
+
+    static std::uint64_t upstreamOf(Placement::TokenDecision const& decision)
+    {
+        return decision.upstream ? decision.upstream->entry.upstream.id.value() : 0;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(TokenPlacer, Fixture)
+
+BOOST_AUTO_TEST_CASE(LaterPacketsFollowTheToken)
+{
+    // Guards against a flow that moves when its packets reach a balancer that has no record of it.
+    for (std::uint64_t upstream : { 1, 2 }) {
+        auto decision = placer.decide(data(upstream, 1, 1, 10));
+        BOOST_CHECK(decision.verdict == Verdict::Forward);
+        BOOST_TEST(upstreamOf(decision) == upstream);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(EstablishedFlowOutlivesDrainAndRemoval)
+{
+    // Guards against planned changes that break flows.
+    auto draining = entry(1, 2);
+    draining.upstream.state = Model::UpstreamState::Draining;
+    directory.applyUpstream(draining);
+    BOOST_TEST(upstreamOf(placer.decide(data(1, 1, 1, 10))) == 1U);
+    directory.removeUpstream(Core::UpstreamId { 1 }, Core::Revision { 3 });
+    BOOST_TEST(upstreamOf(placer.decide(data(1, 11, 1, 10))) == 1U);
+    BOOST_TEST(upstreamOf(placer.decide(packet(PacketKind::Open, 4001))) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(PromptCopyOfAnOpenGoesToTheSameUpstream)
+{
+    // Guards against two upstreams that answer one open after a balancer was paused.
+    auto first = placer.decide(packet(PacketKind::Open));
+    clock.advance(149ms);
+    auto copy = placer.decide(packet(PacketKind::Open));
+    BOOST_CHECK(copy.reason == Reason::RepeatedOpen);
+    BOOST_TEST(upstreamOf(copy) == upstreamOf(first));
+    BOOST_TEST(unanswered == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(UnansweredOpenIsTriedElsewhere)
+{
+    // Guards against callers that give up because one upstream is dead or full.
+    auto first = placer.decide(packet(PacketKind::Open));
+    clock.advance(200ms);
+    auto copy = placer.decide(packet(PacketKind::Open));
+    BOOST_TEST(upstreamOf(copy) != upstreamOf(first));
+    BOOST_TEST(unanswered == 1U);
+    BOOST_TEST(openFlows[upstreamOf(first)] == 0);
+    BOOST_TEST(openFlows[upstreamOf(copy)] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LateCopyOfAnOpenFollowsTheEstablishedFlow)
+{
+    // Guards against a delayed opening packet that moves an open flow.
+    auto first = upstreamOf(placer.decide(packet(PacketKind::Open)));
+    placer.decide(data(first, 1, 1, 10));
+    clock.advance(600ms);
+    BOOST_TEST(upstreamOf(placer.decide(packet(PacketKind::Open))) == first);
+}
+
+BOOST_AUTO_TEST_CASE(DroppedRouteResetsAtOnce)
+{
+    // Guards against callers that wait for their timeout on a route that is gone.
+    directory.applyRoutes(routes(2, false));
+    BOOST_CHECK(placer.decide(packet(PacketKind::Open)).verdict == Verdict::Refuse);
+    BOOST_CHECK(placer.decide(data(1, 1, 1, 10)).verdict == Verdict::Reset);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsRefusedBeforeTheRoutesAreKnown)
+{
+    // Guards against resets by a balancer that has just started.
+    Directory::UpstreamDirectory empty { clock, {}, {} };
+    Placement::TokenPlacer starting { clock, {}, empty, flows, {} };
+    BOOST_CHECK(starting.decide(packet(PacketKind::Open)).verdict == Verdict::Drop);
+    BOOST_CHECK(starting.decide(data(1, 1, 1, 10)).verdict == Verdict::Drop);
+}
+
+BOOST_AUTO_TEST_CASE(UnknownTokenIsResetOnlyWhenItsUpstreamMustBeGone)
+{
+    // Guards against resets of flows whose upstream's entry lapsed or has not arrived yet.
+    auto unknown = data(9, 1, 1, 10);
+    BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Drop);
+    clock.advance(2999ms);
+    BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Drop);
+    placer.setCompleteSince(std::nullopt);
+    clock.advance(10s);
+    BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Drop);
+    placer.setCompleteSince(clock.now());
+    clock.advance(3s);
+    BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Reset);
+}
+
+BOOST_AUTO_TEST_CASE(LostUpstreamResetsItsFlows)
+{
+    // Guards against callers that wait out their time for an upstream that is gone.
+    lost.insert(1);
+    BOOST_CHECK(placer.decide(data(1, 1, 1, 10)).verdict == Verdict::Reset);
+    BOOST_TEST(flows.size() == 0U);
+    BOOST_CHECK(placer.decide(data(2, 1, 1, 10)).verdict == Verdict::Forward);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyPromptAcknowledgementsShowThatAnUpstreamLives)
+{
+    // Guards against a dead upstream that looks alive because callers acknowledge earlier answers with new requests.
+    auto upstream = upstreamOf(placer.decide(packet(PacketKind::Open)));
+    placer.decide(data(upstream, 1, 100, 0));
+    BOOST_TEST(progress == 1U);
+    placer.decide(data(upstream, 1, 100, 50));
+    BOOST_TEST(requests[upstream] == 1);
+    placer.decide(data(upstream, 51, 300, 50));
+    BOOST_TEST(progress == 1U);
+    placer.decide(data(upstream, 101, 500, 0));
+    BOOST_TEST(progress == 2U);
+    BOOST_TEST(requests[upstream] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RetransmissionOnAnUnknownFlowShowsNothing)
+{
+    // Guards against a balancer that takes over flows of a dead upstream and believes that it lives.
+    placer.decide(data(1, 1, 100, 50));
+    placer.decide(data(1, 1, 100, 50));
+    BOOST_TEST(progress == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ClosedFlowIsCountedOnce)
+{
+    // Guards against flow counts that drift with the packets after a close.
+    auto upstream = upstreamOf(placer.decide(packet(PacketKind::Open)));
+    auto close = data(upstream, 1, 100, 0);
+    close.kind = PacketKind::Close;
+    placer.decide(close);
+    placer.decide(data(upstream, 2, 101, 0));
+    placer.decide(close);
+    BOOST_TEST(openFlows[upstream] == 0);
+    clock.advance(16s);
+    flows.expire(15s);
+    BOOST_TEST(flows.size() == 0U);
+    BOOST_TEST(openFlows[upstream] == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A clock that moves with each reading, as a real one does.
+class MovingClock final : public Core::Clock {
+public:
+    Core::TimePoint now() const override { return m_now += 1us; }
+    void advance(std::chrono::nanoseconds step) { m_now += step; }
+
+private:
+    mutable Core::TimePoint m_now { 24h };
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TokenFlowTable)
+
+BOOST_AUTO_TEST_CASE(SilentRequestIsFoundUnderARunningClock)
+{
+    // Guards against a request and its check that were given different start times.
+    MovingClock clock;
+    auto ignore = [](auto) {};
+    Placement::TokenFlowTable flows { clock, 10, { ignore, ignore, ignore, [](auto, auto) {}, ignore } };
+    Core::FlowKey key { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
+    Core::UpstreamId upstream { 1 };
+    flows.recordOpen(key, upstream);
+    flows.recordPacket(key, upstream, 1, 100, 50);
+    BOOST_TEST(flows.takeSilent(200ms).empty());
+    clock.advance(200ms);
+    auto silent = flows.takeSilent(200ms);
+    BOOST_REQUIRE(silent.size() == 1U);
+    BOOST_CHECK(silent.front().upstream == upstream);
+    BOOST_TEST(flows.takeSilent(200ms).empty());
+}
+
+BOOST_AUTO_TEST_CASE(PauseIsNoSilence)
+{
+    // Guards against a frozen process that wakes and suspects every upstream.
+    Core::ManualClock clock;
+    auto ignore = [](auto) {};
+    Placement::TokenFlowTable flows { clock, 10, { ignore, ignore, ignore, [](auto, auto) {}, ignore } };
+    Core::FlowKey key { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
+    flows.recordPacket(key, Core::UpstreamId { 1 }, 1, 100, 50);
+    clock.advance(4s);
+    flows.restartRequests();
+    BOOST_TEST(flows.takeSilent(200ms).empty());
+    clock.advance(200ms);
+    BOOST_TEST(flows.takeSilent(200ms).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(FullTableForgetsNoFlowThatItHolds)
+{
+    // Guards against a flood of opens that takes the memory of established flows.
+    Core::ManualClock clock;
+    auto ignore = [](auto) {};
+    Placement::TokenFlowTable flows { clock, 1, { ignore, ignore, ignore, [](auto, auto) {}, ignore } };
+    Core::FlowKey first { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
+    Core::FlowKey second { { *Core::IpAddress::parse("100.64.0.7"), 4001 }, Address };
+    flows.recordOpen(first, Core::UpstreamId { 1 });
+    flows.recordOpen(second, Core::UpstreamId { 1 });
+    BOOST_TEST(flows.size() == 1U);
+    BOOST_TEST(flows.find(first) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
