Platform: Add the adapter and the program for the users' platform

LibBalancer puts directory, placement, load and liveness together without sockets. platform/ translates packets, settings and store items, and connects them to one event loop.

--- /dev/null
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -0,0 +1,230 @@
+#include <LibBalancer/TokenBalancer.h>
+
+namespace Chicorytally::Balancer {
+
+using Load::Liveness;
+using Telemetry::Level;
+using Telemetry::logEvent;
+
+// Expired records take memory only, so that a slow pace does.
+static constexpr std::chrono::seconds SweepInterval { 1 };
+
+// Answer times from 1 ms to about 8 s.
+static constexpr double ShortestAnswerSeconds = 0.001;
+static constexpr double AnswerTimeFactor = 2;
+static constexpr std::size_t AnswerTimeBuckets = 14;
+
+TokenBalancer::TokenBalancer(
+    Core::Clock const& clock, TokenBalancerOptions options, TokenBalancerHooks hooks, Telemetry::Metrics& metrics)
+    : m_clock(clock)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_answerTimes(metrics.distribution("chicorytally_answer_seconds",
+          "Time from a request to the caller's first acknowledgement of its answer",
+          Telemetry::exponentialBounds(ShortestAnswerSeconds, AnswerTimeFactor, AnswerTimeBuckets)))
+    , m_directory(clock, options.directory, directoryHooks())
+    , m_liveness(clock, options.liveness, livenessHooks())
+    , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness)
+    , m_flows(clock, options.maximumFlows, flowHooks())
+    , m_placer(clock, {}, m_directory, m_flows, placerHooks())
+    , m_lastTick(clock.now())
+    , m_lastSweep(clock.now())
+{
+}
+
+Directory::DirectoryHooks TokenBalancer::directoryHooks()
+{
+    return {
+        .restarted =
+            [this](auto const& record) {
+                auto id = record.entry.upstream.id;
+                logEvent(Level::Info, "upstream_restarted",
+                    { { "upstream", record.entry.upstream.name },
+                        { "incarnation", record.entry.incarnation.value() } });
+                giveUpFlows(id, "restarted");
+                m_liveness.reset(id);
+            },
+        .unlisted = [this](auto const& record) { noteUnlisted(record); },
+        .listedAgain =
+            [this](auto const& record) {
+                logEvent(Level::Info, "upstream_listed_again", { { "upstream", record.entry.upstream.name } });
+                m_liveness.reset(record.entry.upstream.id);
+            },
+    };
+}
+
+Load::LivenessHooks TokenBalancer::livenessHooks()
+{
+    return {
+        .startProbe =
+            [this](Core::UpstreamId id) {
+                auto const* record = m_directory.find(id);
+                if (!record) {
+                    m_liveness.forget(id);
+                    return;
+                }
+                ++m_counters.probes;
+                m_hooks.startProbe(id, record->entry.upstream.address);
+            },
+        .lost =
+            [this](Core::UpstreamId id, Load::Suspicion suspicion, Load::LivenessProbe probe) {
+                auto const* record = m_directory.find(id);
+                logEvent(Level::Warn, "upstream_lost",
+                    { { "upstream", record ? record->entry.upstream.name : std::string {} },
+                        { "suspicion", toString(suspicion) }, { "probe", toString(probe) } });
+                giveUpFlows(id, toString(suspicion));
+            },
+        .regained =
+            [this](Core::UpstreamId id) {
+                auto const* record = m_directory.find(id);
+                logEvent(Level::Info, "upstream_regained",
+                    { { "upstream", record ? record->entry.upstream.name : std::string {} } });
+            },
+    };
+}
+
+Placement::TokenFlowHooks TokenBalancer::flowHooks()
+{
+    return {
+        .opened = [this](Core::UpstreamId id) { m_load.flowOpened(id); },
+        .closed = [this](Core::UpstreamId id) { m_load.flowClosed(id); },
+        .requestStarted = [this](Core::UpstreamId id) { m_load.requestStarted(id); },
+        .requestAnswered =
+            [this](Core::UpstreamId id, std::chrono::nanoseconds duration) {
+                m_load.requestEnded(id);
+                m_answerTimes.record(std::chrono::duration<double>(duration).count());
+            },
+        .requestDropped = [this](Core::UpstreamId id) { m_load.requestEnded(id); },
+    };
+}
+
+Placement::TokenPlacerHooks TokenBalancer::placerHooks()
+{
+    return {
+        .choose
+        = [this](Core::ServiceId service, Core::UpstreamId excluded) { return m_choice.choose(service, excluded); },
+        .isLost = [this](Core::UpstreamId id) { return m_liveness.of(id) == Liveness::Unreachable; },
+        .progressed = [this](Core::UpstreamId id) { m_liveness.noteProgress(id); },
+        .openUnanswered
+        = [this](Core::UpstreamId id,
+              Core::TimePoint since) { m_liveness.suspect(id, Load::Suspicion::UnansweredOpen, since); },
+    };
+}
+
+Placement::TokenDecision TokenBalancer::decide(Placement::TokenPacket const& packet)
+{
+    auto decision = m_placer.decide(packet);
+    ++m_counters.verdicts[static_cast<std::size_t>(decision.verdict)];
+    ++m_counters.reasons[static_cast<std::size_t>(decision.reason)];
+    return decision;
+}
+
+void TokenBalancer::applyRoutes(Directory::RouteTable table)
+{
+    auto former = m_directory.version();
+    auto version = table.version;
+    auto routes = table.routes.size();
+    if (m_directory.applyRoutes(std::move(table)))
+        logEvent(Level::Info, "routes_applied", { { "version", version }, { "former", former }, { "routes", routes } });
+    else
+        logEvent(Level::Warn, "routes_ignored", { { "version", version }, { "in_force", former } });
+}
+
+void TokenBalancer::applyUpstream(Directory::UpstreamEntry entry)
+{
+    auto name = entry.upstream.name;
+    auto isDraining = entry.upstream.isDraining();
+    auto coldFor = entry.coldFor;
+    auto revision = entry.revision;
+    if (m_directory.applyUpstream(std::move(entry)))
+        logEvent(Level::Info, "upstream_applied",
+            { { "upstream", name }, { "revision", revision.value() }, { "draining", isDraining },
+                { "cold_ms", coldFor.count() } });
+}
+
+void TokenBalancer::removeUpstream(Core::UpstreamId id, Core::Revision revision)
+{
+    m_directory.removeUpstream(id, revision);
+}
+
+void TokenBalancer::noteUnlisted(Directory::UpstreamRecord const& record)
+{
+    auto const& upstream = record.entry.upstream;
+    logEvent(Level::Info, "upstream_unlisted",
+        { { "upstream", upstream.name }, { "revision", record.entry.revision.value() },
+            { "draining", upstream.isDraining() }, { "superseded", record.isSuperseded } });
+    if (record.isSuperseded) {
+        giveUpFlows(upstream.id, "superseded");
+        m_liveness.forget(upstream.id);
+    } else {
+        m_liveness.noteUnlisted(upstream.id);
+    }
+}
+
+void TokenBalancer::giveUpFlows(Core::UpstreamId id, std::string_view cause)
+{
+    auto flows = m_flows.removeAll(id);
+    for (auto const& [flow, acknowledgement] : flows)
+        m_hooks.sendReset(flow, acknowledgement);
+    m_counters.flowsGivenUp += flows.size();
+    if (!flows.empty())
+        logEvent(Level::Info, "flows_given_up", { { "cause", cause }, { "flows", flows.size() } });
+}
+
+void TokenBalancer::setZoneOut(Core::ZoneId zone, bool isOut)
+{
+    logEvent(Level::Info, isOut ? "zone_out" : "zone_in", { { "zone", zone.value() } });
+    m_directory.setZoneOut(zone, isOut);
+}
+
+void TokenBalancer::setComplete(bool isComplete)
+{
+    if (!isComplete)
+        m_completeSince.reset();
+    else if (!m_completeSince)
+        m_completeSince = m_clock.now();
+    m_placer.setCompleteSince(m_completeSince);
+}
+
+void TokenBalancer::probeEnded(Core::UpstreamId id, Load::LivenessProbe result)
+{
+    auto const* record = m_directory.find(id);
+    logEvent(Level::Info, "upstream_probed",
+        { { "upstream", record ? record->entry.upstream.name : std::string {} }, { "result", toString(result) } });
+    m_liveness.probeEnded(id, result);
+}
+
+bool TokenBalancer::notePause()
+{
+    auto elapsed = m_clock.now() - std::exchange(m_lastTick, m_clock.now());
+    if (elapsed < m_options.pauseLimit)
+        return false;
+    ++m_counters.pauses;
+    logEvent(
+        Level::Warn, "paused", { { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count() } });
+    return true;
+}
+
+void TokenBalancer::suspectSilent()
+{
+    for (auto const& silent : m_flows.takeSilent(m_options.silenceLimit))
+        m_liveness.suspect(silent.upstream, Load::Suspicion::SilentRequests, silent.since);
+}
+
+void TokenBalancer::tick()
+{
+    if (notePause())
+        m_flows.restartRequests();
+    suspectSilent();
+    m_liveness.tick();
+    if (m_clock.now() - m_lastSweep < SweepInterval)
+        return;
+    m_lastSweep = m_clock.now();
+    m_flows.expire(m_directory.idleTimeout());
+    m_directory.sweep();
+    m_placer.sweep();
+}
+
+bool TokenBalancer::canServe() const { return m_directory.version() != 0 && m_directory.upstreamCount() != 0; }
+
+}
--- /dev/null
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <LibCore/Core.h>
+#include <LibDirectory/Directory.h>
+#include <LibLoad/Load.h>
+#include <LibPlacement/Placement.h>
+#include <LibTelemetry/Telemetry.h>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+
+namespace Chicorytally::Balancer {
+
+struct TokenBalancerOptions {
+    /// Zone of this balancer.
+    Core::ZoneId zone;
+    std::uint64_t randomSeed { 0 };
+    std::size_t maximumFlows { 100'000 };
+    Directory::DirectoryOptions directory;
+    Load::LivenessOptions liveness;
+    /// A request without any answer for this long makes its upstream suspect; twice the time that most requests take.
+    std::chrono::milliseconds silenceLimit { 200 };
+    /// A longer time between two ticks means that the process was paused.
+    std::chrono::milliseconds pauseLimit { 250 };
+};
+
+struct TokenBalancerHooks {
+    /// Starts a probe of the upstream; its result goes to probeEnded().
+    std::function<void(Core::UpstreamId, Core::Endpoint const&)> startProbe;
+    /// Sends a reset to the caller, with its last acknowledgement number as sequence number.
+    std::function<void(Core::FlowKey const&, std::uint32_t sequence)> sendReset;
+};
+
+/// Counts since the start of the process.
+struct TokenBalancerCounters {
+    std::array<std::uint64_t, Placement::VerdictCount> verdicts {};
+    std::array<std::uint64_t, Placement::ReasonCount> reasons {};
+    std::uint64_t flowsGivenUp { 0 };
+    std::uint64_t probes { 0 };
+    std::uint64_t pauses { 0 };
+};
+
+/// Puts directory, placement, load and liveness of one balancer together. Not thread-safe.
+class TokenBalancer {
+public:
+    TokenBalancer(Core::Clock const&, TokenBalancerOptions, TokenBalancerHooks, Telemetry::Metrics&);
+    TokenBalancer(TokenBalancer const&) = delete;
+    TokenBalancer& operator=(TokenBalancer const&) = delete;
+
+    Placement::TokenDecision decide(Placement::TokenPacket const&);
+
+    /// What discovery and operators say. Older versions and revisions are ignored.
+    void applyRoutes(Directory::RouteTable);
+    void applyUpstream(Directory::UpstreamEntry);
+    void removeUpstream(Core::UpstreamId, Core::Revision);
+    void setZoneOut(Core::ZoneId, bool isOut);
+    /// Whether the directory holds all that discovery lists, as far as can be known now.
+    void setComplete(bool);
+
+    void probeEnded(Core::UpstreamId, Load::LivenessProbe);
+    /// To be called every 50 ms.
+    void tick();
+
+    /// False while this balancer can't serve: it lacks routes or upstreams, or reaches none of them.
+    bool canServe() const;
+    Directory::UpstreamDirectory const& directory() const { return m_directory; }
+    TokenBalancerCounters const& counters() const { return m_counters; }
+    std::size_t flowCount() const { return m_flows.size(); }
+    std::size_t unreachableCount() const { return m_liveness.unreachableCount(); }
+
+private:
+    Directory::DirectoryHooks directoryHooks();
+    Load::LivenessHooks livenessHooks();
+    Placement::TokenFlowHooks flowHooks();
+    Placement::TokenPlacerHooks placerHooks();
+    void noteUnlisted(Directory::UpstreamRecord const&);
+    void giveUpFlows(Core::UpstreamId, std::string_view cause);
+    void suspectSilent();
+    bool notePause();
+    void count(Placement::TokenDecision const&);
+
+    Core::Clock const& m_clock;
+    TokenBalancerOptions m_options;
+    TokenBalancerHooks m_hooks;
+    Telemetry::Distribution& m_answerTimes;
+    TokenBalancerCounters m_counters;
+    Directory::UpstreamDirectory m_directory;
+    Load::LocalLoad m_load;
+    Load::UpstreamLiveness m_liveness;
+    Load::LocalChoice m_choice;
+    Placement::TokenFlowTable m_flows;
+    Placement::TokenPlacer m_placer;
+    std::optional<Core::TimePoint> m_completeSince;
+    Core::TimePoint m_lastTick;
+    Core::TimePoint m_lastSweep;
+};
+
+}
--- /dev/null
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -0,0 +1,63 @@
+#include <platform/NodeSettings.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+
+namespace {
+
+nlohmann::json settings()
+{
+    return nlohmann::json::parse(R"({
+        "node": "front-a-1", "zone": "a", "zones": {"a": "r", "b": "r"},
+        "listen": {"packet_addr": "10.1.0.10:8172", "ready": "10.1.0.10:8167"},
+        "internal_ports": [7720, 7735], "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+        "limits": {"memory_mb": 260}, "heartbeat_ms": 1200, "bounds": {"grace_s": 6},
+        "platform": {"addr": "10.200.1.7:8169"}, "unknown": [1, 2]})");
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(NodeSettings)
+
+BOOST_AUTO_TEST_CASE(FieldsAreTranslated)
+{
+    // Guards against addresses that are taken for each other.
+    std::string error;
+    auto parsed = Platform::parseNodeSettings(settings().dump(), error);
+    BOOST_REQUIRE_MESSAGE(parsed.has_value(), error);
+    BOOST_TEST(parsed->dataAddress.toString() == "10.1.0.10:8172");
+    BOOST_TEST(parsed->readyAddress.toString() == "10.1.0.10:8167");
+    BOOST_TEST(parsed->peerAddress.toString() == "10.1.0.10:7720");
+    BOOST_TEST(parsed->storeAddress.toString() == "10.200.1.7:8169");
+    BOOST_TEST(parsed->seeds.size() == 2U);
+    BOOST_CHECK(parsed->upstreamHeartbeat == 1200ms);
+    BOOST_CHECK(parsed->shutdownGrace == 6s);
+}
+
+BOOST_AUTO_TEST_CASE(EachMissingFieldIsNamed)
+{
+    // Guards against a process that starts with a setting it doesn't have.
+    for (auto const* field : { "node", "zone", "listen", "internal_ports", "platform", "heartbeat_ms", "bounds" }) {
+        auto changed = settings();
+        changed.erase(field);
+        std::string error;
+        BOOST_TEST(!Platform::parseNodeSettings(changed.dump(), error).has_value());
+        BOOST_TEST(error.find(field) != std::string::npos, error);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(BadAddressIsRefused)
+{
+    // Guards against a socket that is bound to any address.
+    auto changed = settings();
+    changed["listen"]["ready"] = "8167";
+    std::string error;
+    BOOST_TEST(!Platform::parseNodeSettings(changed.dump(), error).has_value());
+    BOOST_TEST(error.find("listen.ready") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -0,0 +1,130 @@
+#include <platform/StoreClient.h>
+#include <platform/StoreItems.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+
+namespace {
+
+char const* const UpstreamValue
+    = R"({"service":"register","addr":"10.128.0.9:8080","zone":"a","version":"v1","slots":4,"state":"draining",)"
+      R"("warmup_left_ms":700,"seq":4,"born":1700000000123})";
+
+char const* const ConfigurationValue = R"({"version":7,"routes":[)"
+                                       R"({"name":"r1","host":"198.18.0.1","prefix":"/8080/","service":"register"},)"
+                                       R"({"name":"r2","host":"198.18.0.1","prefix":"/8443/","traffic_split":[)"
+                                       R"({"service":"register","weight":90},{"service":"packs","weight":10}]}],)"
+                                       R"("services":[{"name":"register","warmup_s":2.0,"warmup_per_s":3.5}],)"
+                                       R"("limits":{"idle_timeout_ms":12000}})";
+
+std::optional<Platform::StoreChange> decode(std::string key, std::optional<std::string> value, std::string& error)
+{
+    return Platform::decodeItem({ std::move(key), std::move(value), Core::Revision { 42 } }, error);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(StoreItems)
+
+BOOST_AUTO_TEST_CASE(UpstreamIsDecoded)
+{
+    // Guards against fields that are taken for others.
+    std::string error;
+    auto change = decode("servers/i-7f3a91c2aa", UpstreamValue, error);
+    BOOST_REQUIRE_MESSAGE(change.has_value(), error);
+    auto const& upstream = std::get<Platform::UpstreamChange>(*change);
+    BOOST_TEST(upstream.upstream.value() == 0x7f3a91c2aaU);
+    BOOST_REQUIRE(upstream.entry.has_value());
+    BOOST_TEST(upstream.entry->upstream.address.toString() == "10.128.0.9:8080");
+    BOOST_TEST(upstream.entry->upstream.isDraining());
+    BOOST_TEST(upstream.entry->upstream.slots == 4U);
+    BOOST_CHECK(upstream.entry->coldFor == 700ms);
+    BOOST_TEST(upstream.entry->incarnation.value() == 1700000000123U);
+    BOOST_TEST(upstream.entry->revision.value() == 42U);
+}
+
+BOOST_AUTO_TEST_CASE(RemovalsAreDecoded)
+{
+    // Guards against an upstream or a zone that stays after its key was removed.
+    std::string error;
+    auto upstream = decode("servers/i-1", std::nullopt, error);
+    BOOST_TEST(!std::get<Platform::UpstreamChange>(*upstream).entry.has_value());
+    auto zone = decode("op/evacuate/a", std::nullopt, error);
+    BOOST_TEST(!std::get<Platform::ZoneChange>(*zone).isOut);
+    zone = decode("op/evacuate/a", "{}", error);
+    BOOST_TEST(std::get<Platform::ZoneChange>(*zone).isOut);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationIsDecoded)
+{
+    // Guards against routes that are found under another address.
+    std::string error;
+    auto change = decode("op/config", ConfigurationValue, error);
+    BOOST_REQUIRE_MESSAGE(change.has_value(), error);
+    auto const& routes = std::get<Platform::RoutesChange>(*change).routes;
+    BOOST_TEST(routes.version == 7U);
+    BOOST_CHECK(routes.idleTimeout == 12s);
+    auto const& split = routes.routes.at(*Core::Endpoint::parse("198.18.0.1:8443"));
+    BOOST_REQUIRE(split.services.size() == 2U);
+    BOOST_TEST(split.services[1].weight == 10U);
+    BOOST_TEST(routes.services.at(Directory::serviceId("register")).coldOpensPerSecond == 3.5);
+}
+
+struct BadItem {
+    char const* key;
+    char const* value;
+};
+
+std::ostream& operator<<(std::ostream& stream, BadItem const& item) { return stream << item.key << ' ' << item.value; }
+
+BadItem const BadItems[] {
+    { "servers/i-1", "no json" },
+    { "servers/i-1", "[]" },
+    { "servers/i-1",
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"a","slots":"4","state":"ready","warmup_left_ms":0})" },
+    { "servers/i-1", R"({"service":"s","addr":"10.0.0.1:80","zone":"a","slots":4,"state":"odd","warmup_left_ms":0})" },
+    { "servers/i-1", R"({"service":"s","addr":"nowhere","zone":"a","slots":4,"state":"ready","warmup_left_ms":0})" },
+    { "servers/i-1", R"({"addr":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","warmup_left_ms":0})" },
+    { "servers/somebody", UpstreamValue },
+    { "op/config", R"({"version":1})" },
+};
+
+BOOST_DATA_TEST_CASE(UnreadableItemsNameNothing, boost::unit_test::data::make(BadItems), item)
+{
+    // Guards against a foreign entry that stops the process or is used half read.
+    std::string error;
+    BOOST_TEST(!decode(item.key, item.value, error).has_value());
+    BOOST_TEST(!error.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OtherKeysAreNoError)
+{
+    // Guards against log lines for keys that don't concern balancers.
+    std::string error { "before" };
+    BOOST_TEST(!decode("op/other", "{}", error).has_value());
+    BOOST_TEST(error.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAreDecoded)
+{
+    // Guards against removals that are taken for empty values, and a value that isn't base64.
+    std::string error;
+    auto answer = Platform::decodeAnswer(
+        R"({"events":[{"key":"a","value":"bm9kZS0x","rev":412,"create_rev":412,"lease":0},)"
+        R"({"key":"b","rev":413,"removed":true},{"key":"c","value":"%%%","rev":414}],"as_of":414})",
+        error);
+    BOOST_REQUIRE_MESSAGE(answer.has_value(), error);
+    BOOST_TEST(answer->asOf.value() == 414U);
+    BOOST_REQUIRE(answer->items.size() == 3U);
+    BOOST_TEST(*answer->items[0].value == "node-1");
+    BOOST_TEST(!answer->items[1].value.has_value());
+    BOOST_TEST(answer->items[2].value.has_value());
+    BOOST_TEST(!Platform::decodeAnswer("{", error).has_value());
+    BOOST_TEST(!Platform::decodeAnswer(R"({"items":[]})", error).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
