LibBalancer: Be unready while no upstream can be reached

Cause: operators took a zone out and the same zone was then cut off. Its balancer may not use its own upstreams and reaches no other ones, but told the platform that it is ready, so its callers failed for as long as the cut lasted. Ruled out: using the zone's own upstreams after all, since operators asked that nothing more be sent there. Change: readiness needs one upstream that may get flows and is not unreachable; the platform then uses the neighbouring zones.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -225,6 +225,12 @@
     m_placer.sweep();
 }
 
-bool TokenBalancer::canServe() const { return m_directory.version() != 0 && m_directory.upstreamCount() != 0; }
+bool TokenBalancer::canServe() const
+{
+    // Callers of a zone that is cut off from every upstream that may get flows are better served by other zones.
+    return m_directory.version() != 0 && m_directory.any([this](auto const& record) {
+        return m_directory.isOpenable(record) && m_liveness.of(record.entry.upstream.id) != Liveness::Unreachable;
+    });
+}
 
 }
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -62,7 +62,7 @@
     /// To be called every 50 ms.
     void tick();
 
-    /// False while this balancer can't serve: it lacks routes or upstreams, or reaches none of them.
+    /// False while this balancer can't serve: it lacks routes, or reaches no upstream that may get new flows.
     bool canServe() const;
     Directory::UpstreamDirectory const& directory() const { return m_directory; }
     TokenBalancerCounters const& counters() const { return m_counters; }
--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -166,6 +166,11 @@
     return records == m_byService.end() ? None : records->second;
 }
 
+bool UpstreamDirectory::any(std::function<bool(UpstreamRecord const&)> const& predicate) const
+{
+    return std::ranges::any_of(m_records, [&](auto const& entry) { return predicate(*entry.second); });
+}
+
 bool UpstreamDirectory::isCold(UpstreamRecord const& record) const
 {
     return m_clock.now() < record.coldUntil || isHeldAfterReturn(record.entry.upstream.zone);
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -86,6 +86,8 @@
     /// All records of the service, those of dropped upstreams included.
     std::vector<UpstreamRecord const*> const& upstreamsOf(Core::ServiceId) const;
     std::size_t upstreamCount() const { return m_records.size(); }
+    /// Whether the predicate holds for any record.
+    bool any(std::function<bool(UpstreamRecord const&)> const& predicate) const;
 
     bool isCold(UpstreamRecord const&) const;
     /// May get new flows by what the discovery service and the operators say.
--- /dev/null
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -0,0 +1,202 @@
+#include <LibBalancer/Balancer.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Placement::PacketKind;
+using Placement::Verdict;
+
+namespace {
+
+Core::ServiceId const Register = Directory::serviceId("register");
+auto const Address = *Core::Endpoint::parse("198.18.0.1:443");
+Core::ZoneId const Here { 1 };
+Core::ZoneId const There { 2 };
+
+/// A balancer in front of upstreams 1 and 2 in its own zone and 3 in another one.
+struct Fixture {
+    Core::ManualClock clock;
+    Telemetry::Metrics metrics;
+    std::vector<std::uint64_t> probed;
+    std::vector<Core::FlowKey> resets;
+    Balancer::TokenBalancer balancer { clock, { .zone = Here, .randomSeed = 1 },
+        { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
+            .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); } },
+        metrics };
+
+    Fixture()
+    {
+        Directory::RouteTable table;
+        table.version = 1;
+        table.routes.emplace(Address, Directory::Route { "r", Address, { { Register, 1 } } });
+        balancer.applyRoutes(table);
+        add(1, Here);
+        add(2, Here);
+        add(3, There);
+        balancer.setComplete(true);
+    }
+
+    void add(std::uint64_t id, Core::ZoneId zone, std::uint64_t revision = 1, std::string const& address = {})
+    {
+        Directory::UpstreamEntry entry;
+        entry.upstream.id = Core::UpstreamId { id };
+        entry.upstream.name = "u" + std::to_string(id);
+        auto text = address.empty() ? "10.0.0." + std::to_string(id) + ":80" : address;
+        entry.upstream.address = *Core::Endpoint::parse(text);
+        entry.upstream.zone = zone;
+        entry.service = Register;
+        entry.incarnation = Core::Incarnation { id };
+        entry.revision = Core::Revision { revision };
+        balancer.applyUpstream(entry);
+    }
+
+    Placement::TokenPacket packet(PacketKind kind, std::uint16_t port) const
+    {
+        Placement::TokenPacket packet;
+        packet.flow = { { *Core::IpAddress::parse("100.64.0.7"), port }, Address };
+        packet.kind = kind;
+        return packet;
+    }
+
+    /// Opens a flow and sends a request on it; the result is its upstream.
+    std::uint64_t request(std::uint16_t port)
+    {
+        auto decision = balancer.decide(packet(PacketKind::Open, port));
+        BOOST_REQUIRE(decision.verdict == Verdict::Forward);
+        auto data = packet(PacketKind::Data, port);
+        data.token = decision.token;
+        data.sequence = 1;
+        data.acknowledgement = 1;
+        data.length = 100;
+        BOOST_CHECK(balancer.decide(data).verdict == Verdict::Forward);
+        return decision.upstream->entry.upstream.id.value();
+    }
+
+    void tickFor(std::chrono::milliseconds duration)
+    {
+        for (auto end = clock.now() + duration; clock.now() < end;) {
+            clock.advance(50ms);
+            balancer.tick();
+        }
+    }
+
+    /// Every probe that was started is not answered.
+    void answerProbes(Load::LivenessProbe result)
+    {
+        for (auto id : std::exchange(probed, {}))
+            balancer.probeEnded(Core::UpstreamId { id }, result);
+    }
+
+    void loseAll()
+    {
+        for (std::uint16_t port = 1; port <= 9; ++port)
+            request(port);
+        tickFor(250ms);
+        while (!probed.empty())
+            answerProbes(Load::LivenessProbe::NoAnswer);
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(TokenBalancer, Fixture)
+
+BOOST_AUTO_TEST_CASE(DarkUpstreamLosesItsFlowsWithinHalfASecond)
+{
+    // Guards against callers that wait out their time for an upstream that went dark, paused flows included.
+    auto upstream = request(1);
+    std::uint16_t port = 2;
+    while (request(port) != upstream)
+        ++port;
+    tickFor(200ms);
+    BOOST_REQUIRE(!probed.empty());
+    BOOST_TEST(resets.empty());
+    for (int probe = 0; probe < 2; ++probe) {
+        tickFor(150ms);
+        for (auto id : std::exchange(probed, {}))
+            balancer.probeEnded(Core::UpstreamId { id },
+                id == upstream ? Load::LivenessProbe::NoAnswer : Load::LivenessProbe::Answered);
+    }
+    BOOST_TEST(resets.size() == 2U);
+    for (port = 10; port < 20; ++port)
+        BOOST_TEST(request(port) != upstream);
+}
+
+BOOST_AUTO_TEST_CASE(SlowUpstreamKeepsItsFlows)
+{
+    // Guards against resets of flows whose upstream is slow but lives.
+    request(1);
+    for (int i = 0; i < 20; ++i) {
+        tickFor(200ms);
+        answerProbes(Load::LivenessProbe::Answered);
+    }
+    BOOST_TEST(resets.empty());
+}
+
+BOOST_AUTO_TEST_CASE(UnlistedUpstreamThatAnswersKeepsItsFlows)
+{
+    // Guards against resets when entries lapse because the store, not the upstream, is cut off.
+    auto upstream = request(1);
+    balancer.removeUpstream(Core::UpstreamId { upstream }, Core::Revision { 2 });
+    answerProbes(Load::LivenessProbe::Answered);
+    BOOST_TEST(resets.empty());
+    BOOST_TEST(request(2) != upstream);
+}
+
+BOOST_AUTO_TEST_CASE(UnlistedUpstreamThatEndedLosesItsFlowsAtOnce)
+{
+    // Guards against a request on a paused flow of an upstream that has left; it could not be repeated.
+    auto upstream = request(1);
+    balancer.removeUpstream(Core::UpstreamId { upstream }, Core::Revision { 2 });
+    answerProbes(Load::LivenessProbe::Refused);
+    BOOST_TEST(resets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ReusedAddressEndsTheFlowsOfItsFormerHolder)
+{
+    // Guards against flows that wait for an upstream whose address another one has taken.
+    auto upstream = request(1);
+    add(9, Here, 5, "10.0.0." + std::to_string(upstream) + ":80");
+    BOOST_TEST(resets.size() == 1U);
+    auto data = packet(PacketKind::Data, 1);
+    data.token = Directory::routingToken(Core::UpstreamId { upstream });
+    BOOST_CHECK(balancer.decide(data).verdict == Verdict::Reset);
+}
+
+BOOST_AUTO_TEST_CASE(PausedProcessSuspectsNobody)
+{
+    // Guards against a frozen process that wakes up and takes its own silence for that of the upstreams.
+    request(1);
+    tickFor(50ms);
+    clock.advance(4s);
+    balancer.tick();
+    BOOST_TEST(probed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(BalancerWithoutReachableUpstreamIsNotReady)
+{
+    // Guards against callers of a zone that is cut off while its own upstreams are taken out.
+    BOOST_TEST(balancer.canServe());
+    loseAll();
+    BOOST_TEST(!balancer.canServe());
+    tickFor(500ms);
+    answerProbes(Load::LivenessProbe::Answered);
+    BOOST_TEST(balancer.canServe());
+}
+
+BOOST_AUTO_TEST_CASE(ZoneOutGetsNoOpens)
+{
+    // Guards against opens to a zone that operators have taken out, and against resets of its open flows.
+    request(1);
+    balancer.setZoneOut(Here, true);
+    BOOST_TEST(resets.empty());
+    for (std::uint16_t port = 2; port < 10; ++port)
+        BOOST_TEST(request(port) == 3U);
+    balancer.setZoneOut(There, true);
+    BOOST_TEST(!balancer.canServe());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
