--- a/Libraries/LibDistribution/Distribution.h
+++ b/Libraries/LibDistribution/Distribution.h
@@ -6,6 +6,8 @@
 
 #include <LibDistribution/Controller.h>
 #include <LibDistribution/FileSet.h>
+#include <LibDistribution/ItemBatch.h>
 #include <LibDistribution/ItemReplica.h>
 #include <LibDistribution/Options.h>
+#include <LibDistribution/ReplicaFeed.h>
 #include <LibDistribution/StoreFollower.h>
--- /dev/null
+++ b/Libraries/LibDistribution/ItemBatch.cpp
@@ -0,0 +1,76 @@
+#include <LibDistribution/ItemBatch.h>
+
+#include <algorithm>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Chicorytally::Distribution {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+static std::span<std::uint8_t const> bytesOf(std::string_view text)
+{
+    return { reinterpret_cast<std::uint8_t const*>(text.data()), text.size() };
+}
+
+std::string sealBatch(ItemBatch const& batch, Messages::PeerKey const& key)
+{
+    Messages::ItemBatch message;
+    message.completeUpTo = static_cast<std::int64_t>(batch.completeUpTo.value());
+    message.ageMilliseconds = static_cast<std::int32_t>(std::min<std::int64_t>(batch.age.count(), INT32_MAX));
+    message.isListing = batch.isListing;
+    for (auto const& item : batch.items) {
+        auto& stored = message.items.emplace_back();
+        stored.key = item.key;
+        stored.revision = static_cast<std::int64_t>(item.revision.value());
+        if (item.value)
+            stored.__set_value(*item.value);
+    }
+    auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol { buffer };
+    message.write(&protocol);
+    auto sealed = buffer->getBufferAsString();
+    auto tag = key.tagOf(bytesOf(sealed));
+    sealed.append(tag.begin(), tag.end());
+    return sealed;
+}
+
+static ItemBatch fromMessage(Messages::ItemBatch const& message)
+{
+    ItemBatch batch;
+    batch.completeUpTo = Core::Revision { static_cast<std::uint64_t>(message.completeUpTo) };
+    batch.age = std::chrono::milliseconds { message.ageMilliseconds };
+    batch.isListing = message.isListing;
+    for (auto const& stored : message.items) {
+        auto& item = batch.items.emplace_back();
+        item.key = stored.key;
+        item.revision = Core::Revision { static_cast<std::uint64_t>(stored.revision) };
+        if (stored.__isset.value)
+            item.value = stored.value;
+    }
+    return batch;
+}
+
+std::optional<ItemBatch> openBatch(std::string_view bytes, Messages::KeyRing const& keys)
+{
+    if (bytes.size() < Messages::TagSize)
+        return std::nullopt;
+    auto content = bytesOf(bytes.substr(0, bytes.size() - Messages::TagSize));
+    auto tag = bytesOf(bytes.substr(content.size())).first<Messages::TagSize>();
+    if (!keys.isAuthentic(content, tag))
+        return std::nullopt;
+    try {
+        // The buffer only reads, but takes no constant bytes.
+        auto buffer = std::make_shared<TMemoryBuffer>(
+            const_cast<std::uint8_t*>(content.data()), static_cast<std::uint32_t>(content.size()));
+        TCompactProtocol protocol { buffer };
+        Messages::ItemBatch message;
+        message.read(&protocol);
+        return fromMessage(message);
+    } catch (apache::thrift::TException const&) {
+        return std::nullopt;
+    }
+}
+
+}
--- a/Libraries/LibDistribution/ItemReplica.cpp
+++ b/Libraries/LibDistribution/ItemReplica.cpp
@@ -75,6 +75,7 @@
             ++entry;
             continue;
         }
+        m_forgottenUpTo = entry->first;
         m_items.erase(item);
         entry = m_byRevision.erase(entry);
         --m_removedCount;
--- a/Libraries/LibDistribution/ItemReplica.h
+++ b/Libraries/LibDistribution/ItemReplica.h
@@ -44,6 +44,8 @@
     Core::Revision completeUpTo() const { return m_completeUpTo; }
     /// The items of greater revisions, removed ones included, in the order of their revisions.
     std::vector<Item> changesSince(Core::Revision) const;
+    /// Removals up to this revision may be missing from changesSince().
+    Core::Revision forgottenUpTo() const { return m_forgottenUpTo; }
     std::size_t size() const { return m_items.size(); }
 
 private:
@@ -60,6 +62,7 @@
     absl::btree_set<std::pair<Core::Revision, std::string>> m_byRevision;
     std::size_t m_removedCount { 0 };
     Core::Revision m_completeUpTo;
+    Core::Revision m_forgottenUpTo;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibDistribution/ReplicaFeed.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibDistribution/ItemBatch.h>
+#include <LibDistribution/ItemReplica.h>
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <optional>
+
+namespace Chicorytally::Distribution {
+
+/// Serves a replica to other balancers, which wait for its changes as they would at the store. Not thread-safe.
+class ReplicaFeed {
+public:
+    /// Gets the changes, or nothing when this balancer has none to offer now.
+    using Reply = std::function<void(std::optional<ItemBatch> const&)>;
+    /// How long ago this balancer knew of no newer revision; nothing when its view is too old to be passed on.
+    using Age = std::function<std::optional<std::chrono::milliseconds>()>;
+
+    ReplicaFeed(Core::Clock const&, ItemReplica const&, Age);
+
+    /// Replies as soon as there is a change after the revision, at the latest after the wait.
+    void request(Core::Revision after, std::chrono::milliseconds wait, Reply);
+    /// Replies to what can be answered: to be called after changes and every 50 ms. When the view has become too old,
+    /// all who wait are told at once.
+    void tick();
+    std::size_t waitingCount() const { return m_waiting.size(); }
+
+private:
+    struct Waiting {
+        Core::Revision after;
+        Core::TimePoint deadline;
+        Reply reply;
+    };
+
+    /// Nothing while the request may go on waiting.
+    bool answer(Waiting const&) const;
+    ItemBatch batchAfter(Core::Revision, std::chrono::milliseconds age) const;
+
+    Core::Clock const& m_clock;
+    ItemReplica const& m_replica;
+    Age m_age;
+    std::list<Waiting> m_waiting;
+};
+
+}
--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -5,7 +5,6 @@
 
 namespace Chicorytally::Distribution {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 std::string_view toString(StoreFailure failure)
@@ -19,6 +18,8 @@
         return "history_lost";
     case StoreFailure::Malformed:
         return "malformed";
+    case StoreFailure::Stale:
+        return "stale";
     }
     return "unknown";
 }
@@ -26,46 +27,76 @@
 StoreFollower::StoreFollower(
     Core::Clock const& clock, FollowerOptions options, ItemReplica& replica, FollowerHooks hooks)
     : m_clock(clock)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_replica(replica)
     , m_hooks(std::move(hooks))
-    , m_random(options.randomSeed)
-    , m_nextAt(clock.now())
+    , m_random(m_options.randomSeed)
+    , m_storeIndex(m_options.preferredPeers.size())
     , m_startedAt(clock.now())
+    , m_nextAt(clock.now())
+{
+    for (auto const& peer : m_options.preferredPeers)
+        m_sources.push_back({ .peer = peer });
+    m_sources.push_back({});
+    for (auto const& peer : m_options.otherPeers)
+        m_sources.push_back({ .peer = peer });
+}
+
+StoreFollower::Source& StoreFollower::chooseSource()
 {
+    auto isUsable = [this](Source const& source) { return source.blockedUntil <= m_clock.now(); };
+    // A listing takes one call, and peers that started at the same time have nothing to give.
+    if (m_isListing && isUsable(m_sources[m_storeIndex]))
+        return m_sources[m_storeIndex];
+    auto usable = std::ranges::find_if(m_sources, isUsable);
+    if (usable != m_sources.end())
+        return *usable;
+    return *std::ranges::min_element(m_sources, {}, &Source::blockedUntil);
 }
 
 std::optional<StoreRequest> StoreFollower::nextRequest()
 {
-    if (m_underWay || m_isPaused || m_clock.now() < m_nextAt)
+    if (m_asked || m_clock.now() < m_nextAt)
+        return std::nullopt;
+    auto& source = chooseSource();
+    if (source.blockedUntil > m_clock.now()) {
+        m_nextAt = source.blockedUntil;
         return std::nullopt;
+    }
+    m_asked = &source;
     m_startedAt = m_clock.now();
-    if (m_isListing)
-        m_underWay = ListRequest { m_listed.empty() ? std::string {} : m_listed.back().key };
-    else
-        m_underWay = WatchRequest { m_watchedUpTo, m_options.watchWait };
-    return m_underWay;
+    m_isPageAsked = m_isListing && !source.peer;
+    if (m_isPageAsked)
+        return StoreRequest { std::nullopt, ListRequest { m_listed.empty() ? std::string {} : m_listed.back().key } };
+    // A peer that is asked for changes since the beginning gives a listing, at once.
+    auto after = m_isListing ? Core::Revision {} : m_replica.completeUpTo();
+    return StoreRequest { source.peer, WatchRequest { after, m_options.watchWait } };
 }
 
 std::optional<milliseconds> StoreFollower::delay() const
 {
-    if (m_underWay || m_isPaused)
+    if (m_asked)
         return std::nullopt;
     return std::max(milliseconds { 0 }, std::chrono::ceil<milliseconds>(m_nextAt - m_clock.now()));
 }
 
 void StoreFollower::answered(StoreAnswer const& answer)
 {
-    bool isPage = m_underWay && std::holds_alternative<ListRequest>(*m_underWay);
-    m_underWay.reset();
-    noteAnswer();
-    if (isPage)
-        pageAnswered(answer);
-    else
-        watchAnswered(answer);
+    auto& source = *std::exchange(m_asked, nullptr);
+    if (m_isPageAsked) {
+        applyPage(answer);
+    } else {
+        applyChanges(answer);
+        if (answer.age > m_options.staleLimit) {
+            noteFailure(source, StoreFailure::Stale);
+            return;
+        }
+    }
+    if (std::exchange(source.failures, 0) != 0 && m_hooks.regained)
+        m_hooks.regained(source.peer);
 }
 
-void StoreFollower::pageAnswered(StoreAnswer const& answer)
+void StoreFollower::applyPage(StoreAnswer const& answer)
 {
     if (m_listed.empty())
         m_listedAsOf = answer.asOf;
@@ -73,64 +104,67 @@
     m_nextAt = m_clock.now();
     if (answer.hasMore && !answer.items.empty())
         return;
-    auto listed = std::exchange(m_listed, {});
     m_isListing = false;
-    m_watchedUpTo = m_listedAsOf;
-    m_replica.applyListing(listed, m_listedAsOf);
+    m_replica.applyListing(std::exchange(m_listed, {}), m_listedAsOf);
+    m_equalAt = m_startedAt;
 }
 
-void StoreFollower::watchAnswered(StoreAnswer const& answer)
+void StoreFollower::applyChanges(StoreAnswer const& answer)
 {
-    for (auto const& item : answer.items)
-        m_replica.apply(item);
-    m_watchedUpTo = std::max(m_watchedUpTo, answer.asOf);
-    m_replica.noteComplete(m_watchedUpTo);
+    if (answer.isListing) {
+        m_replica.applyListing(answer.items, answer.asOf);
+    } else {
+        for (auto const& item : answer.items)
+            m_replica.apply(item);
+        m_replica.noteComplete(answer.asOf);
+    }
+    m_isListing = m_isListing && !answer.isListing;
+    m_equalAt = std::max(m_equalAt.value_or(Core::TimePoint {}), m_clock.now() - answer.age);
     m_nextAt = std::max(m_clock.now(), m_startedAt + m_options.watchInterval);
 }
 
-void StoreFollower::noteAnswer()
-{
-    auto away = age();
-    m_answeredAt = m_clock.now();
-    if (std::exchange(m_failures, 0) != 0 && m_hooks.regained)
-        m_hooks.regained(away.value_or(milliseconds { 0 }));
-}
-
 void StoreFollower::failed(StoreFailure failure)
 {
-    m_underWay.reset();
+    auto& source = *std::exchange(m_asked, nullptr);
+    // Pages of different times don't fit together.
+    m_listed.clear();
     if (failure == StoreFailure::HistoryLost) {
-        noteAnswer();
         m_isListing = true;
-        m_listed.clear();
         m_nextAt = m_clock.now();
         return;
     }
-    // The pages read so far may be from a store that others can no longer reach.
-    m_listed.clear();
-    if (m_failures++ == 0 && m_hooks.lost)
-        m_hooks.lost();
-    auto backoff = m_options.firstBackoff * (1U << std::min(m_failures - 1, 10U));
-    backoff = std::min(backoff, m_options.maximumBackoff);
-    std::uniform_real_distribution<double> jitter { 0.5, 1.0 };
-    m_nextAt = m_clock.now() + duration_cast<milliseconds>(backoff * jitter(m_random));
+    noteFailure(source, failure);
 }
 
-void StoreFollower::resume()
+void StoreFollower::noteFailure(Source& source, StoreFailure failure)
 {
-    m_isPaused = false;
-    if (m_replica.completeUpTo().isValid()) {
-        m_isListing = false;
-        m_listed.clear();
-        m_watchedUpTo = std::max(m_watchedUpTo, m_replica.completeUpTo());
-    }
+    if (source.failures++ == 0 && m_hooks.lost)
+        m_hooks.lost(source.peer, failure);
+    source.blockedUntil = m_clock.now() + backoffOf(source);
+    m_nextAt = m_clock.now();
+}
+
+milliseconds StoreFollower::backoffOf(Source const& source)
+{
+    static constexpr unsigned MaxDoublings = 10;
+    auto first = source.peer ? m_options.peerBackoff : m_options.storeBackoff;
+    auto maximum = source.peer ? m_options.maximumPeerBackoff : m_options.maximumStoreBackoff;
+    auto backoff = std::min(first * (1U << std::min(source.failures - 1, MaxDoublings)), maximum);
+    std::uniform_real_distribution<double> jitter { 0.5, 1.0 };
+    return std::chrono::duration_cast<milliseconds>(backoff * jitter(m_random));
 }
 
 std::optional<milliseconds> StoreFollower::age() const
 {
-    if (!m_answeredAt)
+    if (!m_equalAt)
         return std::nullopt;
-    return duration_cast<milliseconds>(m_clock.now() - *m_answeredAt);
+    return std::chrono::duration_cast<milliseconds>(m_clock.now() - *m_equalAt);
+}
+
+bool StoreFollower::isFresh() const
+{
+    auto known = age();
+    return known && *known <= m_options.watchWait + m_options.staleLimit;
 }
 
 }
--- a/Libraries/LibEventLoop/HttpServer.cpp
+++ b/Libraries/LibEventLoop/HttpServer.cpp
@@ -30,16 +30,32 @@
 
 HttpServer::~HttpServer() { evhttp_free(m_server); }
 
-void HttpServer::addRoute(std::string const& path, Handler handler) { m_routes.emplace(path, std::move(handler)); }
+void HttpServer::addRoute(std::string const& path, Handler handler)
+{
+    addDeferredRoute(path, [handler = std::move(handler)](auto const&, Reply const& reply) { reply(handler()); });
+}
+
+void HttpServer::addDeferredRoute(std::string const& path, DeferredHandler handler)
+{
+    m_routes.emplace(path, std::move(handler));
+}
 
 void HttpServer::answer(evhttp_request* request) const
 {
     auto const* uri = evhttp_request_get_evhttp_uri(request);
     auto const* path = uri ? evhttp_uri_get_path(uri) : nullptr;
     auto route = path ? m_routes.find(path) : m_routes.end();
-    HttpResponse response { .status = HTTP_NOTFOUND };
-    if (route != m_routes.end())
-        response = route->second();
+    if (route == m_routes.end()) {
+        send(request, { .status = HTTP_NOTFOUND });
+        return;
+    }
+    auto const* query = evhttp_uri_get_query(uri);
+    route->second(query ? query : "", [request](HttpResponse const& response) { send(request, response); });
+}
+
+// libevent keeps a request whose client has gone until it is answered, and then frees it.
+void HttpServer::send(evhttp_request* request, HttpResponse const& response)
+{
     auto* buffer = evhttp_request_get_output_buffer(request);
     evbuffer_add(buffer, response.body.data(), response.body.size());
     evhttp_send_reply(request, response.status, nullptr, nullptr);
--- a/Libraries/LibEventLoop/HttpServer.h
+++ b/Libraries/LibEventLoop/HttpServer.h
@@ -18,6 +18,10 @@
 class HttpServer {
 public:
     using Handler = std::function<HttpResponse()>;
+    /// Sends the answer; to be called once, now or later on the loop. Harmless after the client has gone.
+    using Reply = std::function<void(HttpResponse)>;
+    /// Gets the query, without the question mark.
+    using DeferredHandler = std::function<void(std::string const& query, Reply)>;
 
     /// Nothing when the endpoint can't be bound; the error says why.
     static std::unique_ptr<HttpServer> create(Loop&, Core::Endpoint const&, std::string& error);
@@ -27,13 +31,15 @@
 
     /// The path is matched whole, without the query.
     void addRoute(std::string const& path, Handler);
+    void addDeferredRoute(std::string const& path, DeferredHandler);
 
 private:
     explicit HttpServer(evhttp* server);
     void answer(evhttp_request*) const;
+    static void send(evhttp_request*, HttpResponse const&);
 
     evhttp* m_server;
-    std::map<std::string, Handler, std::less<>> m_routes;
+    std::map<std::string, DeferredHandler, std::less<>> m_routes;
 };
 
 }
--- a/Libraries/LibMessages/distribution.thrift
+++ b/Libraries/LibMessages/distribution.thrift
@@ -50,6 +50,25 @@
     6: optional i64 fromRevision,
 }
 
+/// A key of the platform's store, as it was written at the revision.
+struct StoredItem {
+    1: required string key,
+    /// Absent: the key was removed.
+    2: optional binary value,
+    3: required i64 revision,
+}
+
+/// Answer of a balancer that relays the platform's store: the changes after the revision that was asked for.
+struct ItemBatch {
+    1: required list<StoredItem> items,
+    /// Every change up to this revision is known to the receiver after it has applied the items.
+    2: required i64 completeUpTo,
+    /// How long ago the sender knew of no newer revision.
+    3: required i32 ageMilliseconds,
+    /// The items are all there are: a key that is missing was removed.
+    4: required bool isListing,
+}
+
 union DistributionMessage {
     1: RevisionDigest revisionDigest,
     2: DeltaRequest deltaRequest,
--- a/Libraries/LibMessages/gen/distribution_types.cpp
+++ b/Libraries/LibMessages/gen/distribution_types.cpp
@@ -1094,6 +1094,353 @@
 }
 
 
+StoredItem::~StoredItem() noexcept {
+}
+
+
+void StoredItem::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StoredItem::__set_value(const std::string& val) {
+  this->value = val;
+__isset.value = true;
+}
+
+void StoredItem::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoredItem& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoredItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_revision = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StoredItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoredItem");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.value) {
+    xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->value);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoredItem &a, StoredItem &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+StoredItem::StoredItem(const StoredItem& other30) {
+  key = other30.key;
+  value = other30.value;
+  revision = other30.revision;
+  __isset = other30.__isset;
+}
+StoredItem::StoredItem(StoredItem&& other31) noexcept {
+  key = std::move(other31.key);
+  value = std::move(other31.value);
+  revision = other31.revision;
+  __isset = other31.__isset;
+}
+StoredItem& StoredItem::operator=(const StoredItem& other32) {
+  key = other32.key;
+  value = other32.value;
+  revision = other32.revision;
+  __isset = other32.__isset;
+  return *this;
+}
+StoredItem& StoredItem::operator=(StoredItem&& other33) noexcept {
+  key = std::move(other33.key);
+  value = std::move(other33.value);
+  revision = other33.revision;
+  __isset = other33.__isset;
+  return *this;
+}
+void StoredItem::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoredItem(";
+  out << "key=" << to_string(key);
+  out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+ItemBatch::~ItemBatch() noexcept {
+}
+
+
+void ItemBatch::__set_items(const std::vector<StoredItem> & val) {
+  this->items = val;
+}
+
+void ItemBatch::__set_completeUpTo(const int64_t val) {
+  this->completeUpTo = val;
+}
+
+void ItemBatch::__set_ageMilliseconds(const int32_t val) {
+  this->ageMilliseconds = val;
+}
+
+void ItemBatch::__set_isListing(const bool val) {
+  this->isListing = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_items = false;
+  bool isset_completeUpTo = false;
+  bool isset_ageMilliseconds = false;
+  bool isset_isListing = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->items.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += this->items[_i38].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->completeUpTo);
+          isset_completeUpTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMilliseconds);
+          isset_ageMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isListing);
+          isset_isListing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_items)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_completeUpTo)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMilliseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_isListing)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ItemBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemBatch");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<StoredItem> ::const_iterator _iter39;
+    for (_iter39 = this->items.begin(); _iter39 != this->items.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("completeUpTo", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->completeUpTo);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isListing", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isListing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemBatch &a, ItemBatch &b) {
+  using ::std::swap;
+  swap(a.items, b.items);
+  swap(a.completeUpTo, b.completeUpTo);
+  swap(a.ageMilliseconds, b.ageMilliseconds);
+  swap(a.isListing, b.isListing);
+}
+
+ItemBatch::ItemBatch(const ItemBatch& other40) {
+  items = other40.items;
+  completeUpTo = other40.completeUpTo;
+  ageMilliseconds = other40.ageMilliseconds;
+  isListing = other40.isListing;
+}
+ItemBatch::ItemBatch(ItemBatch&& other41) noexcept {
+  items = std::move(other41.items);
+  completeUpTo = other41.completeUpTo;
+  ageMilliseconds = other41.ageMilliseconds;
+  isListing = other41.isListing;
+}
+ItemBatch& ItemBatch::operator=(const ItemBatch& other42) {
+  items = other42.items;
+  completeUpTo = other42.completeUpTo;
+  ageMilliseconds = other42.ageMilliseconds;
+  isListing = other42.isListing;
+  return *this;
+}
+ItemBatch& ItemBatch::operator=(ItemBatch&& other43) noexcept {
+  items = std::move(other43.items);
+  completeUpTo = other43.completeUpTo;
+  ageMilliseconds = other43.ageMilliseconds;
+  isListing = other43.isListing;
+  return *this;
+}
+void ItemBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemBatch(";
+  out << "items=" << to_string(items);
+  out << ", " << "completeUpTo=" << to_string(completeUpTo);
+  out << ", " << "ageMilliseconds=" << to_string(ageMilliseconds);
+  out << ", " << "isListing=" << to_string(isListing);
+  out << ")";
+}
+
+
 DistributionMessage::~DistributionMessage() noexcept {
 }
 
@@ -1247,38 +1594,38 @@
   swap(a.__isset, b.__isset);
 }
 
-DistributionMessage::DistributionMessage(const DistributionMessage& other30) {
-  revisionDigest = other30.revisionDigest;
-  deltaRequest = other30.deltaRequest;
-  delta = other30.delta;
-  copyRequest = other30.copyRequest;
-  copyChunk = other30.copyChunk;
-  __isset = other30.__isset;
-}
-DistributionMessage::DistributionMessage(DistributionMessage&& other31) noexcept {
-  revisionDigest = std::move(other31.revisionDigest);
-  deltaRequest = std::move(other31.deltaRequest);
-  delta = std::move(other31.delta);
-  copyRequest = std::move(other31.copyRequest);
-  copyChunk = std::move(other31.copyChunk);
-  __isset = other31.__isset;
-}
-DistributionMessage& DistributionMessage::operator=(const DistributionMessage& other32) {
-  revisionDigest = other32.revisionDigest;
-  deltaRequest = other32.deltaRequest;
-  delta = other32.delta;
-  copyRequest = other32.copyRequest;
-  copyChunk = other32.copyChunk;
-  __isset = other32.__isset;
+DistributionMessage::DistributionMessage(const DistributionMessage& other44) {
+  revisionDigest = other44.revisionDigest;
+  deltaRequest = other44.deltaRequest;
+  delta = other44.delta;
+  copyRequest = other44.copyRequest;
+  copyChunk = other44.copyChunk;
+  __isset = other44.__isset;
+}
+DistributionMessage::DistributionMessage(DistributionMessage&& other45) noexcept {
+  revisionDigest = std::move(other45.revisionDigest);
+  deltaRequest = std::move(other45.deltaRequest);
+  delta = std::move(other45.delta);
+  copyRequest = std::move(other45.copyRequest);
+  copyChunk = std::move(other45.copyChunk);
+  __isset = other45.__isset;
+}
+DistributionMessage& DistributionMessage::operator=(const DistributionMessage& other46) {
+  revisionDigest = other46.revisionDigest;
+  deltaRequest = other46.deltaRequest;
+  delta = other46.delta;
+  copyRequest = other46.copyRequest;
+  copyChunk = other46.copyChunk;
+  __isset = other46.__isset;
   return *this;
 }
-DistributionMessage& DistributionMessage::operator=(DistributionMessage&& other33) noexcept {
-  revisionDigest = std::move(other33.revisionDigest);
-  deltaRequest = std::move(other33.deltaRequest);
-  delta = std::move(other33.delta);
-  copyRequest = std::move(other33.copyRequest);
-  copyChunk = std::move(other33.copyChunk);
-  __isset = other33.__isset;
+DistributionMessage& DistributionMessage::operator=(DistributionMessage&& other47) noexcept {
+  revisionDigest = std::move(other47.revisionDigest);
+  deltaRequest = std::move(other47.deltaRequest);
+  delta = std::move(other47.delta);
+  copyRequest = std::move(other47.copyRequest);
+  copyChunk = std::move(other47.copyChunk);
+  __isset = other47.__isset;
   return *this;
 }
 void DistributionMessage::printTo(std::ostream& out) const {
--- a/Libraries/LibMessages/gen/distribution_types.h
+++ b/Libraries/LibMessages/gen/distribution_types.h
@@ -33,6 +33,10 @@
 
 class CopyChunk;
 
+class StoredItem;
+
+class ItemBatch;
+
 class DistributionMessage;
 
 typedef struct _RevisionDigest__isset {
@@ -428,6 +432,121 @@
 
 std::ostream& operator<<(std::ostream& out, const CopyChunk& obj);
 
+typedef struct _StoredItem__isset {
+  _StoredItem__isset() : value(false) {}
+  bool value :1;
+} _StoredItem__isset;
+
+class StoredItem : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoredItem(const StoredItem&);
+  StoredItem(StoredItem&&) noexcept;
+  StoredItem& operator=(const StoredItem&);
+  StoredItem& operator=(StoredItem&&) noexcept;
+  StoredItem() noexcept
+             : key(),
+               value(),
+               revision(0) {
+  }
+
+  virtual ~StoredItem() noexcept;
+  std::string key;
+  std::string value;
+  int64_t revision;
+
+  _StoredItem__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const StoredItem & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (__isset.value != rhs.__isset.value)
+      return false;
+    else if (__isset.value && !(value == rhs.value))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const StoredItem &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoredItem & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoredItem &a, StoredItem &b);
+
+std::ostream& operator<<(std::ostream& out, const StoredItem& obj);
+
+
+class ItemBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemBatch(const ItemBatch&);
+  ItemBatch(ItemBatch&&) noexcept;
+  ItemBatch& operator=(const ItemBatch&);
+  ItemBatch& operator=(ItemBatch&&) noexcept;
+  ItemBatch() noexcept
+            : completeUpTo(0),
+              ageMilliseconds(0),
+              isListing(0) {
+  }
+
+  virtual ~ItemBatch() noexcept;
+  std::vector<StoredItem>  items;
+  int64_t completeUpTo;
+  int32_t ageMilliseconds;
+  bool isListing;
+
+  void __set_items(const std::vector<StoredItem> & val);
+
+  void __set_completeUpTo(const int64_t val);
+
+  void __set_ageMilliseconds(const int32_t val);
+
+  void __set_isListing(const bool val);
+
+  bool operator == (const ItemBatch & rhs) const
+  {
+    if (!(items == rhs.items))
+      return false;
+    if (!(completeUpTo == rhs.completeUpTo))
+      return false;
+    if (!(ageMilliseconds == rhs.ageMilliseconds))
+      return false;
+    if (!(isListing == rhs.isListing))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemBatch &a, ItemBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemBatch& obj);
+
 typedef struct _DistributionMessage__isset {
   _DistributionMessage__isset() : revisionDigest(false), deltaRequest(false), delta(false), copyRequest(false), copyChunk(false) {}
   bool revisionDigest :1;
--- /dev/null
+++ b/Libraries/LibRelay/PeerReader.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibDistribution/Distribution.h>
+#include <LibEventLoop/EventLoop.h>
+#include <LibMessages/Messages.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Chicorytally::Relay {
+
+/// Reads the changes that other balancers relay.
+class PeerReader {
+public:
+    /// Called once a request, with the answer or with the failure and its cause.
+    using Callback
+        = std::function<void(std::optional<Distribution::StoreAnswer>, Distribution::StoreFailure, std::string cause)>;
+
+    PeerReader(EventLoop::Loop&, Messages::KeyRing const&);
+
+    void watch(Core::Endpoint const& peer, Distribution::WatchRequest const&, Callback);
+
+private:
+    EventLoop::Loop& m_loop;
+    Messages::KeyRing m_keys;
+    std::map<Core::Endpoint, std::unique_ptr<EventLoop::HttpClient>> m_clients;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -0,0 +1,115 @@
+#include <LibRelay/Subscription.h>
+
+#include <LibTelemetry/Telemetry.h>
+
+#include <algorithm>
+
+namespace Chicorytally::Relay {
+
+using std::chrono::milliseconds;
+using Telemetry::Level;
+using Telemetry::logEvent;
+
+// A view of this age is not passed on: the watch that should have renewed it is overdue.
+static constexpr milliseconds RelayLimit { 1300 };
+
+SourceOrder orderSources(Core::Endpoint const& self, std::vector<Core::Endpoint> seeds)
+{
+    std::ranges::sort(seeds);
+    bool isSeed = std::ranges::binary_search(seeds, self);
+    SourceOrder order;
+    for (auto const& seed : seeds) {
+        if (seed != self)
+            (isSeed && seed > self ? order.others : order.preferred).push_back(seed);
+    }
+    return order;
+}
+
+static Distribution::FollowerOptions followerOptions(SubscriptionOptions const& options)
+{
+    auto order = orderSources(options.address, options.seeds);
+    Distribution::FollowerOptions result;
+    result.preferredPeers = std::move(order.preferred);
+    result.otherPeers = std::move(order.others);
+    result.randomSeed = options.randomSeed;
+    return result;
+}
+
+static std::string nameOf(std::optional<Core::Endpoint> const& peer) { return peer ? peer->toString() : "store"; }
+
+static Distribution::FollowerHooks followerHooks()
+{
+    return {
+        .lost =
+            [](auto const& peer, Distribution::StoreFailure failure) {
+                logEvent(Level::Warn, "source_lost", { { "source", nameOf(peer) }, { "failure", toString(failure) } });
+            },
+        .regained =
+            [](auto const& peer) {
+                logEvent(Level::Info, "source_regained", { { "source", nameOf(peer) } });
+            },
+    };
+}
+
+std::unique_ptr<Subscription> Subscription::create(EventLoop::Loop& loop, Core::Clock const& clock,
+    SubscriptionOptions options, SubscriptionHooks hooks, std::string& error)
+{
+    std::unique_ptr<Subscription> subscription { new Subscription { loop, clock, options, std::move(hooks) } };
+    subscription->m_server
+        = PeerServer::create(loop, options.address, options.keys.sealing, subscription->m_feed, error);
+    return subscription->m_server ? std::move(subscription) : nullptr;
+}
+
+Subscription::Subscription(
+    EventLoop::Loop& loop, Core::Clock const& clock, SubscriptionOptions const& options, SubscriptionHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_replica([this](Distribution::Item const& item) { m_hooks.itemChanged(item); })
+    , m_follower(clock, followerOptions(options), m_replica, followerHooks())
+    , m_feed(clock, m_replica, [this] { return relayableAge(); })
+    , m_reader(loop, options.keys)
+    , m_timer(loop.timer([this] { sendNext(); }))
+{
+}
+
+std::optional<milliseconds> Subscription::relayableAge() const
+{
+    auto age = m_follower.age();
+    return age && *age <= RelayLimit ? age : std::nullopt;
+}
+
+void Subscription::sendNext()
+{
+    auto request = m_follower.nextRequest();
+    if (!request) {
+        // The loop's cached time may run ahead of the clock, so that the timer fires early.
+        if (auto delay = m_follower.delay())
+            m_timer->arm(std::max(*delay, milliseconds { 1 }));
+        return;
+    }
+    bool isPeer = request->peer.has_value();
+    ++(isPeer ? m_counters.peerCalls : m_counters.storeCalls);
+    auto done
+        = [this, isPeer](auto answer, auto failure, auto const& cause) { finish(isPeer, answer, failure, cause); };
+    if (isPeer)
+        m_reader.watch(*request->peer, std::get<Distribution::WatchRequest>(request->call), std::move(done));
+    else
+        m_hooks.callStore(*request, std::move(done));
+}
+
+void Subscription::finish(bool isPeer, std::optional<Distribution::StoreAnswer> const& answer,
+    Distribution::StoreFailure failure, std::string const& cause)
+{
+    if (answer) {
+        m_follower.answered(*answer);
+    } else {
+        ++(isPeer ? m_counters.peerFailures : m_counters.storeFailures);
+        logEvent(Level::Debug, "call_failed",
+            { { "source", isPeer ? "peer" : "store" }, { "failure", toString(failure) }, { "cause", cause } });
+        m_follower.failed(failure);
+    }
+    m_feed.tick();
+    m_hooks.updated();
+    sendNext();
+}
+
+}
--- /dev/null
+++ b/Tests/LibDistribution/TestReplicaFeed.cpp
@@ -0,0 +1,119 @@
+#include <LibDistribution/Distribution.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Distribution::Item;
+using Distribution::ItemBatch;
+
+namespace {
+
+Item item(std::string key, std::uint64_t revision, std::optional<std::string> value = "value")
+{
+    return { std::move(key), std::move(value), Core::Revision { revision } };
+}
+
+struct Fixture {
+    Core::ManualClock clock;
+    std::optional<std::chrono::milliseconds> age { 10ms };
+    Distribution::ItemReplica replica { [](Item const&) {} };
+    Distribution::ReplicaFeed feed { clock, replica, [this] { return age; } };
+    unsigned replies { 0 };
+    std::optional<ItemBatch> batch;
+
+    Fixture() { replica.applyListing({ item("a", 1), item("b", 2) }, Core::Revision { 2 }); }
+
+    void request(std::uint64_t after)
+    {
+        feed.request(Core::Revision { after }, 1s, [this](auto const& result) {
+            ++replies;
+            batch = result;
+        });
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(ReplicaFeed, Fixture)
+
+BOOST_AUTO_TEST_CASE(NewcomerGetsEverythingAtOnce)
+{
+    // Guards against a balancer that waits for a change before it has anything to serve with.
+    replica.apply(item("a", 3, std::nullopt));
+    replica.noteComplete(Core::Revision { 3 });
+    request(0);
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(batch->isListing);
+    BOOST_REQUIRE(batch->items.size() == 1U);
+    BOOST_TEST(batch->items.front().key == "b");
+    BOOST_TEST(batch->completeUpTo.value() == 3U);
+    BOOST_CHECK(batch->age == 10ms);
+}
+
+BOOST_AUTO_TEST_CASE(ChangeEndsTheWait)
+{
+    // Guards against changes that reach the fleet only at the end of a wait.
+    request(2);
+    BOOST_TEST(replies == 0U);
+    replica.apply(item("a", 3, std::nullopt));
+    replica.noteComplete(Core::Revision { 3 });
+    feed.tick();
+    BOOST_TEST(replies == 1U);
+    BOOST_REQUIRE(batch->items.size() == 1U);
+    BOOST_TEST(!batch->items.front().value.has_value());
+    BOOST_TEST(feed.waitingCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WaitEndsWithoutAChange)
+{
+    // Guards against a follower that can't tell a quiet store from a dead peer.
+    request(2);
+    clock.advance(1s);
+    feed.tick();
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(batch->items.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LostStoreIsToldAtOnce)
+{
+    // Guards against followers that wait on a balancer that has lost the store itself.
+    request(2);
+    age.reset();
+    feed.tick();
+    BOOST_TEST(replies == 1U);
+    BOOST_TEST(!batch.has_value());
+    request(0);
+    BOOST_TEST(replies == 2U);
+    BOOST_TEST(!batch.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(BatchSurvivesTheWire)
+{
+    // Guards against removals and binary values that change on their way.
+    Messages::PeerKey key = *Messages::PeerKey::fromHex(std::string(64, 'a'));
+    ItemBatch sent { { item("a", 5, std::string { "\0\xff", 2 }), item("b", 6, std::nullopt), item("c", 7, "") },
+        Core::Revision { 9 }, 250ms, true };
+    auto bytes = Distribution::sealBatch(sent, key);
+    auto received = Distribution::openBatch(bytes, { .sealing = key });
+    BOOST_REQUIRE(received.has_value());
+    BOOST_CHECK(received->items == sent.items);
+    BOOST_CHECK(received->completeUpTo == sent.completeUpTo);
+    BOOST_CHECK(received->age == sent.age);
+    BOOST_TEST(received->isListing);
+}
+
+BOOST_AUTO_TEST_CASE(ForeignOrCutBatchIsRefused)
+{
+    // Guards against routes and upstreams from a process that is no balancer of the fleet.
+    Messages::PeerKey key = *Messages::PeerKey::fromHex(std::string(64, 'a'));
+    Messages::PeerKey other = *Messages::PeerKey::fromHex(std::string(64, 'b'));
+    auto bytes = Distribution::sealBatch({ { item("a", 5) }, Core::Revision { 9 } }, key);
+    BOOST_TEST(!Distribution::openBatch(bytes, { .sealing = other }).has_value());
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        BOOST_TEST(!Distribution::openBatch(std::string_view { bytes }.substr(0, size), { .sealing = key }));
+    bytes[0] ^= 1;
+    BOOST_TEST(!Distribution::openBatch(bytes, { .sealing = key }).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -19,13 +19,24 @@
     unsigned lost { 0 };
     unsigned regained { 0 };
     Distribution::ItemReplica replica { [this](Item const&) { ++changes; } };
-    Distribution::StoreFollower follower { clock, {}, replica,
-        { .lost = [this] { ++lost; }, .regained = [this](auto) { ++regained; } } };
+    Distribution::FollowerOptions options;
+    Distribution::StoreFollower follower { clock, options, replica, hooks() };
 
-    std::optional<Distribution::StoreRequest> nextAfterDelay()
+    Distribution::FollowerHooks hooks()
     {
-        clock.advance(follower.delay().value_or(0ms));
-        return follower.nextRequest();
+        return { .lost = [this](auto const&, auto) { ++lost; }, .regained = [this](auto const&) { ++regained; } };
+    }
+
+    std::optional<Distribution::StoreRequest> nextAfterDelay() { return nextAfterDelay(follower); }
+
+    std::optional<Distribution::StoreRequest> nextAfterDelay(Distribution::StoreFollower& asking)
+    {
+        clock.advance(asking.delay().value_or(0ms));
+        if (auto request = asking.nextRequest())
+            return request;
+        // Every source was blocked for a while longer.
+        clock.advance(asking.delay().value_or(0ms));
+        return asking.nextRequest();
     }
 
     void list()
@@ -42,16 +53,16 @@
 BOOST_AUTO_TEST_CASE(ListsAllPagesThenWatches)
 {
     // Guards against changes between two pages that nobody sees: the watch starts at the first page's revision.
-    BOOST_REQUIRE(follower.nextRequest() == Distribution::StoreRequest { ListRequest {} });
+    BOOST_REQUIRE((follower.nextRequest() == Distribution::StoreRequest { std::nullopt, ListRequest {} }));
     BOOST_TEST(!follower.nextRequest().has_value());
     follower.answered({ .items = { item("a", 1) }, .hasMore = true, .asOf = Core::Revision { 10 } });
     BOOST_TEST(changes == 0U);
-    BOOST_REQUIRE(follower.nextRequest() == Distribution::StoreRequest { ListRequest { "a" } });
+    BOOST_REQUIRE((follower.nextRequest() == Distribution::StoreRequest { std::nullopt, ListRequest { "a" } }));
     follower.answered({ .items = { item("b", 2) }, .asOf = Core::Revision { 12 } });
     BOOST_TEST(changes == 2U);
     auto watch = nextAfterDelay();
     BOOST_REQUIRE(watch.has_value());
-    BOOST_TEST(std::get<WatchRequest>(*watch).after.value() == 10U);
+    BOOST_TEST(std::get<WatchRequest>(watch->call).after.value() == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(WatchGoesOnFromItsAnswer)
@@ -62,7 +73,7 @@
     follower.answered({ .items = { item("a", 11) }, .asOf = Core::Revision { 11 } });
     BOOST_TEST(!follower.nextRequest().has_value());
     auto watch = nextAfterDelay();
-    BOOST_TEST(std::get<WatchRequest>(*watch).after.value() == 11U);
+    BOOST_TEST(std::get<WatchRequest>(watch->call).after.value() == 11U);
     BOOST_TEST(replica.completeUpTo().value() == 11U);
 }
 
@@ -95,7 +106,7 @@
     nextAfterDelay();
     follower.answered({ .asOf = Core::Revision { 10 } });
     BOOST_TEST(regained == 1U);
-    BOOST_TEST(follower.isReachable());
+    BOOST_TEST(follower.isFresh());
 }
 
 BOOST_AUTO_TEST_CASE(FailedPageStartsTheListingAgain)
@@ -105,7 +116,103 @@
     follower.answered({ .items = { item("a", 1) }, .hasMore = true, .asOf = Core::Revision { 10 } });
     follower.nextRequest();
     follower.failed(StoreFailure::Unreachable);
-    BOOST_REQUIRE(nextAfterDelay() == Distribution::StoreRequest { ListRequest {} });
+    BOOST_REQUIRE((nextAfterDelay() == Distribution::StoreRequest { std::nullopt, ListRequest {} }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+Core::Endpoint const FirstPeer = *Core::Endpoint::parse("10.0.0.1:7000");
+Core::Endpoint const LastPeer = *Core::Endpoint::parse("10.0.0.9:7000");
+
+/// Prefers one peer to the store and asks another one after it.
+struct PeerFixture : Fixture {
+    Distribution::StoreFollower following { clock, { .preferredPeers = { FirstPeer }, .otherPeers = { LastPeer } },
+        replica, hooks() };
+
+    std::optional<Core::Endpoint> ask()
+    {
+        auto request = nextAfterDelay(following);
+        BOOST_REQUIRE(request.has_value());
+        isList = std::holds_alternative<ListRequest>(request->call);
+        return request->peer;
+    }
+
+    void answer(std::chrono::milliseconds age = 0ms)
+    {
+        following.answered({ .items = { item("a", 1) }, .asOf = Core::Revision { 10 }, .age = age });
+    }
+
+    bool isList { false };
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(StoreFollowerPeers, PeerFixture)
+
+BOOST_AUTO_TEST_CASE(ListsFromTheStoreThenFollowsThePeer)
+{
+    // Guards against a fleet in which every balancer calls the store for each change.
+    BOOST_CHECK(ask() == std::nullopt);
+    BOOST_TEST(isList);
+    answer();
+    for (int i = 0; i < 3; ++i) {
+        BOOST_CHECK(ask() == FirstPeer);
+        answer();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(FailedPeerIsReplacedAtOnceAndTriedAgainLater)
+{
+    // Guards against a view that ages while a failed peer is asked again and again.
+    ask();
+    answer();
+    BOOST_CHECK(ask() == FirstPeer);
+    following.failed(StoreFailure::Unreachable);
+    BOOST_TEST(following.delay()->count() == 0);
+    BOOST_CHECK(ask() == std::nullopt);
+    BOOST_TEST(!isList);
+    answer();
+    clock.advance(1s);
+    BOOST_CHECK(ask() == FirstPeer);
+    answer();
+    BOOST_TEST(lost == 1U);
+    BOOST_TEST(regained == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StalePeerIsLeft)
+{
+    // Guards against two balancers that follow each other while nobody reads the store.
+    ask();
+    answer();
+    BOOST_CHECK(ask() == FirstPeer);
+    answer(1501ms);
+    BOOST_CHECK(ask() == std::nullopt);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedBalancerFollowsAnyPeer)
+{
+    // Guards against a balancer that the store turns away and that misses every change.
+    ask();
+    following.failed(StoreFailure::Refused);
+    BOOST_CHECK(ask() == FirstPeer);
+    following.failed(StoreFailure::Unreachable);
+    BOOST_CHECK(ask() == LastPeer);
+    following.answered({ .items = { item("a", 1) }, .isListing = true, .asOf = Core::Revision { 10 } });
+    BOOST_TEST(changes == 1U);
+    BOOST_TEST(following.isFresh());
+}
+
+BOOST_AUTO_TEST_CASE(ViewThatNobodyRenewsIsNotFresh)
+{
+    // Guards against resets that rest on an old view.
+    BOOST_TEST(!following.isFresh());
+    ask();
+    answer();
+    BOOST_TEST(following.isFresh());
+    clock.advance(2501ms);
+    BOOST_TEST(!following.isFresh());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -0,0 +1,150 @@
+#include <LibRelay/Relay.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Chicorytally;
+using namespace std::chrono_literals;
+using Distribution::Item;
+using Distribution::StoreFailure;
+
+namespace {
+
+Core::Endpoint freePort()
+{
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    return *Core::Endpoint::parse("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+}
+
+/// A store in this process: answers listings at once and watches when a change comes.
+class FakeStore {
+public:
+    void call(Distribution::StoreRequest const& request, Relay::PeerReader::Callback callback)
+    {
+        ++calls;
+        if (isRefusing) {
+            callback(std::nullopt, StoreFailure::Refused, "status 503");
+            return;
+        }
+        auto const* watch = std::get_if<Distribution::WatchRequest>(&request.call);
+        if (!watch || watch->after < items.back().revision)
+            callback(answer(), StoreFailure::Unreachable, {});
+        else
+            m_waiting.push_back(std::move(callback));
+    }
+
+    void write(std::string const& key, std::uint64_t revision)
+    {
+        items.push_back({ key, "value", Core::Revision { revision } });
+        for (auto const& callback : std::exchange(m_waiting, {}))
+            callback(answer(), StoreFailure::Unreachable, {});
+    }
+
+    std::vector<Item> items { { "a", "value", Core::Revision { 1 } } };
+    unsigned calls { 0 };
+    bool isRefusing { false };
+
+private:
+    Distribution::StoreAnswer answer() const { return { .items = items, .asOf = items.back().revision }; }
+
+    std::vector<Relay::PeerReader::Callback> m_waiting;
+};
+
+/// A balancer that keeps a copy of the store.
+struct Node {
+    Node(EventLoop::Loop& loop, Core::Clock const& clock, FakeStore& store, Core::Endpoint const& address,
+        std::vector<Core::Endpoint> seeds)
+    {
+        std::string error;
+        Relay::SubscriptionOptions options { .address = address, .seeds = std::move(seeds) };
+        options.keys.sealing = *Messages::PeerKey::fromHex(std::string(64, 'a'));
+        subscription = Relay::Subscription::create(loop, clock, options,
+            { .callStore = [&store](auto const& request, auto callback) { store.call(request, std::move(callback)); },
+                .itemChanged =
+                    [this, &loop](auto const&) {
+                        ++items;
+                        loop.stop();
+                    },
+                .updated = [] {} },
+            error);
+        BOOST_REQUIRE_MESSAGE(subscription, error);
+    }
+
+    std::unique_ptr<Relay::Subscription> subscription;
+    unsigned items { 0 };
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(Subscription)
+
+BOOST_AUTO_TEST_CASE(SeedsAreFollowedInOneOrder)
+{
+    // Guards against two seeds that follow each other.
+    auto endpoint = [](int number) { return *Core::Endpoint::parse("10.0.0." + std::to_string(number) + ":7000"); };
+    std::vector<Core::Endpoint> seeds { endpoint(5), endpoint(1), endpoint(3) };
+    auto middle = Relay::orderSources(endpoint(3), seeds);
+    BOOST_CHECK(middle.preferred == std::vector { endpoint(1) });
+    BOOST_CHECK(middle.others == std::vector { endpoint(5) });
+    auto first = Relay::orderSources(endpoint(1), seeds);
+    BOOST_TEST(first.preferred.empty());
+    auto other = Relay::orderSources(endpoint(2), seeds);
+    BOOST_CHECK((other.preferred == std::vector { endpoint(1), endpoint(3), endpoint(5) }));
+    BOOST_TEST(other.others.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OneSeedReadsForTheOthers)
+{
+    // Guards against changes that a follower misses, and against followers that call the store.
+    std::string error;
+    auto loop = EventLoop::Loop::create(error);
+    Core::SystemClock clock;
+    FakeStore readerStore;
+    FakeStore followerStore;
+    auto address = freePort();
+    Node reader { *loop, clock, readerStore, address, { address } };
+    Node follower { *loop, clock, followerStore, freePort(), { address } };
+    reader.subscription->start();
+    follower.subscription->start();
+    BOOST_TEST(reader.items == 1U);
+    BOOST_TEST(follower.items == 1U);
+    auto change = loop->timer([&] { readerStore.write("b", 2); });
+    change->arm(150ms);
+    while (follower.items < 2)
+        loop->run();
+    BOOST_TEST(follower.items == 2U);
+    BOOST_TEST(followerStore.calls == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedReaderSendsItsFollowersToTheStore)
+{
+    // Guards against a fleet that is blind because one balancer lost the store.
+    std::string error;
+    auto loop = EventLoop::Loop::create(error);
+    Core::SystemClock clock;
+    FakeStore readerStore;
+    FakeStore followerStore;
+    readerStore.isRefusing = true;
+    auto address = freePort();
+    Node reader { *loop, clock, readerStore, address, { address } };
+    Node follower { *loop, clock, followerStore, freePort(), { address } };
+    reader.subscription->start();
+    follower.subscription->start();
+    auto change = loop->timer([&] { followerStore.write("b", 2); });
+    change->arm(300ms);
+    while (follower.items < 2)
+        loop->run();
+    BOOST_TEST(reader.items == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+std::string const PeerKey(64, 'a');
+
 nlohmann::json settings()
 {
     return nlohmann::json::parse(R"({
@@ -27,7 +29,7 @@
 {
     // Guards against addresses that are taken for each other.
     std::string error;
-    auto parsed = Platform::parseNodeSettings(settings().dump(), error);
+    auto parsed = Platform::parseNodeSettings(settings().dump(), PeerKey, error);
     BOOST_REQUIRE_MESSAGE(parsed.has_value(), error);
     BOOST_TEST(parsed->dataAddress.toString() == "10.1.0.10:8172");
     BOOST_TEST(parsed->readyAddress.toString() == "10.1.0.10:8167");
@@ -45,7 +47,7 @@
         auto changed = settings();
         changed.erase(field);
         std::string error;
-        BOOST_TEST(!Platform::parseNodeSettings(changed.dump(), error).has_value());
+        BOOST_TEST(!Platform::parseNodeSettings(changed.dump(), PeerKey, error).has_value());
         BOOST_TEST(error.find(field) != std::string::npos, error);
     }
 }
@@ -56,7 +58,7 @@
     auto changed = settings();
     changed["listen"]["ready"] = "8167";
     std::string error;
-    BOOST_TEST(!Platform::parseNodeSettings(changed.dump(), error).has_value());
+    BOOST_TEST(!Platform::parseNodeSettings(changed.dump(), PeerKey, error).has_value());
     BOOST_TEST(error.find("listen.ready") != std::string::npos);
 }
 
