LibPlacement: Suspect an upstream whose opens the callers don't go on with

Cause: a crashed upstream's VM answers opens with a reset. Resets go to the caller directly, so that no balancer sees them; the caller tried again at once, got the same upstream, and used up its three tries within milliseconds. The upstream was noticed only when its entry lapsed after four seconds. Ruled out: waiting for the copy of the opening packet, which never comes after a reset. Change: an open that the caller has not gone on with for 40 ms makes its upstream suspect, and the next open from the same address avoids it.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -207,6 +207,8 @@
 
 void TokenBalancer::suspectSilent()
 {
+    for (auto const& open : m_flows.takeUnconfirmed(m_options.openLimit))
+        m_liveness.suspect(open.upstream, Load::Suspicion::UnansweredOpen, open.since);
     for (auto const& silent : m_flows.takeSilent(m_options.silenceLimit))
         m_liveness.suspect(silent.upstream, Load::Suspicion::SilentRequests, silent.since);
 }
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -19,6 +19,9 @@
     std::size_t maximumFlows { 100'000 };
     Directory::DirectoryOptions directory;
     Load::LivenessOptions liveness;
+    /// An open that the caller has not gone on with for this long makes its upstream suspect. Callers acknowledge the
+    /// answer of a living one after the way there and back.
+    std::chrono::milliseconds openLimit { 40 };
     /// A request without any answer for this long makes its upstream suspect; twice the time that most requests take.
     std::chrono::milliseconds silenceLimit { 200 };
     /// A longer time between two ticks means that the process was paused.
@@ -61,6 +64,9 @@
     void probeEnded(Core::UpstreamId, Load::LivenessProbe);
     /// To be called every 50 ms.
     void tick();
+    /// Looks for upstreams that have gone silent; to be called after each batch of packets, and does little when there
+    /// is none.
+    void suspectSilent();
 
     /// False while this balancer can't serve: it lacks routes, or reaches no upstream that may get new flows.
     bool canServe() const;
@@ -76,7 +82,6 @@
     Placement::TokenPlacerHooks placerHooks();
     void noteUnlisted(Directory::UpstreamRecord const&);
     void giveUpFlows(Core::UpstreamId, std::string_view cause);
-    void suspectSilent();
     bool notePause();
     void count(Placement::TokenDecision const&);
 
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -58,8 +58,33 @@
         return;
     if (flow->upstream != upstream)
         moveTo(*flow, upstream);
-    flow->openedAt = m_clock.now();
-    flow->lastPacketAt = m_clock.now();
+    auto now = m_clock.now();
+    flow->openedAt = now;
+    flow->lastPacketAt = now;
+    m_openChecks.push_back({ key, now });
+    m_lastOpens.insert_or_assign(key.source.address, key);
+}
+
+Core::UpstreamId TokenFlowTable::unconfirmedOpenOf(Core::IpAddress const& caller) const
+{
+    auto last = m_lastOpens.find(caller);
+    if (last == m_lastOpens.end())
+        return {};
+    auto const* flow = find(last->second);
+    return flow && !flow->isEstablished ? flow->upstream : Core::UpstreamId {};
+}
+
+std::vector<TokenFlowTable::Silent> TokenFlowTable::takeUnconfirmed(std::chrono::milliseconds limit)
+{
+    std::vector<Silent> unconfirmed;
+    while (!m_openChecks.empty() && m_clock.now() - m_openChecks.front().since >= limit) {
+        auto check = m_openChecks.front();
+        m_openChecks.pop_front();
+        auto const* flow = find(check.flow);
+        if (flow && !flow->isEstablished && flow->openedAt == check.since)
+            unconfirmed.push_back({ check.flow, flow->upstream, check.since });
+    }
+    return unconfirmed;
 }
 
 bool TokenFlowTable::recordPacket(Core::FlowKey const& key, Core::UpstreamId upstream, std::uint32_t sequence,
@@ -163,6 +188,7 @@
 void TokenFlowTable::restartRequests()
 {
     m_checks.clear();
+    m_openChecks.clear();
     auto now = m_clock.now();
     for (auto& [key, flow] : m_flows) {
         if (!flow.requestSince)
@@ -180,6 +206,7 @@
         endCounts(entry.second);
         return true;
     });
+    absl::erase_if(m_lastOpens, [this](auto const& entry) { return !m_flows.contains(entry.second); });
 }
 
 }
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -53,6 +53,9 @@
     TokenFlowTable(Core::Clock const&, std::size_t maximumFlows, TokenFlowHooks);
 
     TokenFlow const* find(Core::FlowKey const&) const;
+    /// The upstream of the last open from this address, if the caller has not gone on with it. A caller whose open was
+    /// answered with a reset, which balancers don't see, tries again from another port.
+    Core::UpstreamId unconfirmedOpenOf(Core::IpAddress const& caller) const;
     /// Records an opening packet that goes to the upstream. Does nothing when the table is full.
     void recordOpen(Core::FlowKey const&, Core::UpstreamId);
     /// Records another packet of the caller that goes to the upstream. True when it shows that the upstream answers at
@@ -66,6 +69,8 @@
     /// Removes the flows of an upstream and returns the established ones with their acknowledgement numbers.
     std::vector<std::pair<Core::FlowKey, std::uint32_t>> removeAll(Core::UpstreamId);
     bool holdsFlowOf(Core::UpstreamId) const;
+    /// Opens that the caller has not gone on with for the limit, each reported once.
+    std::vector<Silent> takeUnconfirmed(std::chrono::milliseconds limit);
     /// Flows whose request has been in flight for the limit since it was last reported.
     std::vector<Silent> takeSilent(std::chrono::milliseconds limit);
     /// The process was paused: the time of the pause does not count as silence.
@@ -93,6 +98,9 @@
     Flows m_flows;
     /// Requests in the order of their start; entries whose request has ended are skipped.
     std::deque<Check> m_checks;
+    /// The same for opens.
+    std::deque<Check> m_openChecks;
+    absl::flat_hash_map<Core::IpAddress, Core::FlowKey> m_lastOpens;
 };
 
 }
--- a/Libraries/LibPlacement/TokenPlacer.cpp
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -32,7 +32,7 @@
 {
     auto const* flow = m_flows.find(packet.flow);
     auto const* former = flow ? m_directory.find(flow->upstream) : nullptr;
-    Core::UpstreamId excluded;
+    auto excluded = m_flows.unconfirmedOpenOf(packet.flow.source.address);
     if (former) {
         bool isRecent = m_clock.now() - flow->openedAt < m_options.repeatInterval;
         if (flow->isEstablished || isRecent)
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -144,6 +144,35 @@
     BOOST_TEST(openFlows[upstreamOf(copy)] == 1);
 }
 
+BOOST_AUTO_TEST_CASE(NextOpenOfTheCallerAvoidsAnUnconfirmedUpstream)
+{
+    // Guards against a caller whose tries all go to one upstream that resets them.
+    auto first = upstreamOf(placer.decide(packet(PacketKind::Open, 4000)));
+    clock.advance(3ms);
+    auto second = upstreamOf(placer.decide(packet(PacketKind::Open, 4001)));
+    BOOST_TEST(second != first);
+    auto confirmed = data(second, 1, 1, 0);
+    confirmed.flow.source.port = 4001;
+    placer.decide(confirmed);
+    BOOST_TEST(upstreamOf(placer.decide(packet(PacketKind::Open, 4002))) == first);
+}
+
+BOOST_AUTO_TEST_CASE(UnconfirmedOpenIsReportedOnce)
+{
+    // Guards against an upstream that resets every open and is never suspected.
+    auto upstream = upstreamOf(placer.decide(packet(PacketKind::Open, 4000)));
+    placer.decide(packet(PacketKind::Open, 4001));
+    auto confirmed = data(2, 1, 1, 0);
+    confirmed.flow.source.port = 4001;
+    placer.decide(confirmed);
+    BOOST_TEST(flows.takeUnconfirmed(40ms).empty());
+    clock.advance(40ms);
+    auto unconfirmed = flows.takeUnconfirmed(40ms);
+    BOOST_REQUIRE(unconfirmed.size() == 1U);
+    BOOST_TEST(unconfirmed.front().upstream.value() == upstream);
+    BOOST_TEST(flows.takeUnconfirmed(40ms).empty());
+}
+
 BOOST_AUTO_TEST_CASE(LateCopyOfAnOpenFollowsTheEstablishedFlow)
 {
     // Guards against a delayed opening packet that moves an open flow.
