--- /dev/null
+++ b/Libraries/LibBalancer/FlowLog.cpp
@@ -0,0 +1,100 @@
+#include <LibBalancer/FlowLog.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace Chicorytally::Balancer {
+
+using Placement::PacketKind;
+using Placement::Verdict;
+using Telemetry::Level;
+using Telemetry::logEvent;
+
+// Of each kind of event. At 100 opens per second and balancer this is every second one under load, and all on most
+// days.
+static constexpr std::uint32_t LinesPerSecond = 50;
+
+FlowLog::FlowLog(Core::Clock const& clock)
+    : m_limiter(clock, LinesPerSecond)
+{
+}
+
+static std::string nameOf(Core::FlowKey const& flow)
+{
+    return flow.source.toString() + "-" + flow.destination.toString();
+}
+
+static std::string nameOf(std::uint64_t request)
+{
+    return request == 0 ? std::string { "unknown" } : absl::StrCat(absl::Hex(request, absl::kZeroPad16));
+}
+
+static std::string nameOf(Directory::UpstreamRecord const* upstream)
+{
+    return upstream ? upstream->entry.upstream.name : std::string { "none" };
+}
+
+static std::string_view eventOf(Placement::TokenPacket const& packet, Verdict verdict)
+{
+    bool isOpen = packet.kind == PacketKind::Open;
+    switch (verdict) {
+    case Verdict::Forward:
+        return isOpen ? "flow_opened" : "flow_joined";
+    case Verdict::Refuse:
+    case Verdict::Reset:
+        return isOpen ? "open_refused" : "flow_reset";
+    case Verdict::ForwardToPeer:
+    case Verdict::Drop:
+        break;
+    }
+    return isOpen ? "open_dropped" : "packet_dropped";
+}
+
+void FlowLog::decided(
+    Placement::TokenPacket const& packet, Placement::TokenDecision const& decision, ViewState const& view)
+{
+    auto event = eventOf(packet, decision.verdict);
+    if (!m_limiter.admit(event))
+        return;
+    logEvent(Level::Info, event,
+        { { "flow", nameOf(packet.flow) }, { "request", nameOf(packet.requestId) },
+            { "upstream", nameOf(decision.upstream) }, { "reason", toString(decision.reason) },
+            { "token", packet.token }, { "version", view.version },
+            { "view_age_ms", view.age ? view.age->count() : -1 } });
+}
+
+void FlowLog::joined(Placement::TokenPacket const& packet, Placement::TokenDecision const& decision)
+{
+    if (!m_limiter.admit("flow_joined"))
+        return;
+    logEvent(Level::Info, "flow_joined",
+        { { "flow", nameOf(packet.flow) }, { "request", nameOf(packet.requestId) },
+            { "upstream", nameOf(decision.upstream) }, { "token", packet.token } });
+}
+
+void FlowLog::gaveUp(Placement::TokenFlowTable::Ended const& flow, std::string_view upstream, std::string_view cause)
+{
+    if (!m_limiter.admit("flow_given_up"))
+        return;
+    logEvent(Level::Info, "flow_given_up",
+        { { "flow", nameOf(flow.flow) }, { "request", nameOf(flow.requestId) }, { "upstream", upstream },
+            { "cause", cause } });
+}
+
+void FlowLog::answeredLate(
+    Core::FlowKey const& flow, std::uint64_t request, std::string_view upstream, std::chrono::milliseconds duration)
+{
+    if (!m_limiter.admit("request_late"))
+        return;
+    logEvent(Level::Info, "request_late",
+        { { "flow", nameOf(flow) }, { "request", nameOf(request) }, { "upstream", upstream },
+            { "ms", duration.count() } });
+}
+
+void FlowLog::report()
+{
+    m_limiter.report([](std::string_view event, std::uint64_t count) {
+        logEvent(Level::Warn, "lines_left_out", { { "of", event }, { "count", count } });
+    });
+}
+
+}
--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -22,6 +22,7 @@
     , m_answerTimes(metrics.distribution("chicorytally_answer_seconds",
           "Time from a request to the caller's first acknowledgement of its answer",
           Telemetry::exponentialBounds(ShortestAnswerSeconds, AnswerTimeFactor, AnswerTimeBuckets)))
+    , m_log(clock)
     , m_directory(clock, options.directory, directoryHooks())
     , m_liveness(clock, options.liveness, livenessHooks())
     , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness)
@@ -68,17 +69,13 @@
             },
         .lost =
             [this](Core::UpstreamId id, Load::Suspicion suspicion, Load::LivenessProbe probe) {
-                auto const* record = m_directory.find(id);
                 logEvent(Level::Warn, "upstream_lost",
-                    { { "upstream", record ? record->entry.upstream.name : std::string {} },
-                        { "suspicion", toString(suspicion) }, { "probe", toString(probe) } });
+                    { { "upstream", nameOf(id) }, { "suspicion", toString(suspicion) }, { "probe", toString(probe) } });
                 giveUpFlows(id, toString(suspicion));
             },
         .regained =
             [this](Core::UpstreamId id) {
-                auto const* record = m_directory.find(id);
-                logEvent(Level::Info, "upstream_regained",
-                    { { "upstream", record ? record->entry.upstream.name : std::string {} } });
+                logEvent(Level::Info, "upstream_regained", { { "upstream", nameOf(id) } });
             },
     };
 }
@@ -89,11 +86,8 @@
         .opened = [this](Core::UpstreamId id) { m_load.flowOpened(id); },
         .closed = [this](Core::UpstreamId id) { m_load.flowClosed(id); },
         .requestStarted = [this](Core::UpstreamId id) { m_load.requestStarted(id); },
-        .requestAnswered =
-            [this](Core::UpstreamId id, std::chrono::nanoseconds duration) {
-                m_load.requestEnded(id);
-                m_answerTimes.record(std::chrono::duration<double>(duration).count());
-            },
+        .requestAnswered
+        = [this](auto const& key, auto const& flow, auto duration) { noteAnswer(key, flow, duration); },
         .requestDropped = [this](Core::UpstreamId id) { m_load.requestEnded(id); },
     };
 }
@@ -111,11 +105,31 @@
     };
 }
 
+void TokenBalancer::noteAnswer(
+    Core::FlowKey const& key, Placement::TokenFlow const& flow, std::chrono::nanoseconds duration)
+{
+    m_load.requestEnded(flow.upstream);
+    m_answerTimes.record(std::chrono::duration<double>(duration).count());
+    if (duration > m_options.lateLimit)
+        m_log.answeredLate(key, flow.requestId, nameOf(flow.upstream),
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration));
+}
+
+std::string TokenBalancer::nameOf(Core::UpstreamId id) const
+{
+    auto const* record = m_directory.find(id);
+    return record ? record->entry.upstream.name : std::string { "forgotten" };
+}
+
 Placement::TokenDecision TokenBalancer::decide(Placement::TokenPacket const& packet)
 {
     auto decision = m_placer.decide(packet);
     ++m_counters.verdicts[static_cast<std::size_t>(decision.verdict)];
     ++m_counters.reasons[static_cast<std::size_t>(decision.reason)];
+    if (packet.kind == Placement::PacketKind::Open || decision.verdict != Placement::Verdict::Forward)
+        m_log.decided(packet, decision, { m_directory.version(), m_hooks.viewAge() });
+    else if (decision.isFirstHere)
+        m_log.joined(packet, decision);
     return decision;
 }
 
@@ -164,11 +178,15 @@
 void TokenBalancer::giveUpFlows(Core::UpstreamId id, std::string_view cause)
 {
     auto flows = m_flows.removeAll(id);
-    for (auto const& [flow, acknowledgement] : flows)
-        m_hooks.sendReset(flow, acknowledgement);
+    auto name = nameOf(id);
+    for (auto const& flow : flows) {
+        m_hooks.sendReset(flow.flow, flow.acknowledgement);
+        m_log.gaveUp(flow, name, cause);
+    }
     m_counters.flowsGivenUp += flows.size();
     if (!flows.empty())
-        logEvent(Level::Info, "flows_given_up", { { "cause", cause }, { "flows", flows.size() } });
+        logEvent(
+            Level::Info, "flows_given_up", { { "upstream", name }, { "cause", cause }, { "flows", flows.size() } });
 }
 
 void TokenBalancer::setZoneOut(Core::ZoneId zone, bool isOut)
@@ -188,9 +206,7 @@
 
 void TokenBalancer::probeEnded(Core::UpstreamId id, Load::LivenessProbe result)
 {
-    auto const* record = m_directory.find(id);
-    logEvent(Level::Info, "upstream_probed",
-        { { "upstream", record ? record->entry.upstream.name : std::string {} }, { "result", toString(result) } });
+    logEvent(Level::Info, "upstream_probed", { { "upstream", nameOf(id) }, { "result", toString(result) } });
     m_liveness.probeEnded(id, result);
 }
 
@@ -219,6 +235,7 @@
         m_flows.restartRequests();
     suspectSilent();
     m_liveness.tick();
+    m_log.report();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
     m_lastSweep = m_clock.now();
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBalancer/FlowLog.h>
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
 #include <LibLoad/Load.h>
@@ -24,6 +25,8 @@
     std::chrono::milliseconds openLimit { 40 };
     /// A request without any answer for this long makes its upstream suspect; twice the time that most requests take.
     std::chrono::milliseconds silenceLimit { 200 };
+    /// Answers that take longer are logged.
+    std::chrono::milliseconds lateLimit { 500 };
     /// A longer time between two ticks means that the process was paused.
     std::chrono::milliseconds pauseLimit { 250 };
 };
@@ -33,6 +36,8 @@
     std::function<void(Core::UpstreamId, Core::Endpoint const&)> startProbe;
     /// Sends a reset to the caller, with its last acknowledgement number as sequence number.
     std::function<void(Core::FlowKey const&, std::uint32_t sequence)> sendReset;
+    /// How long ago the directory was known to hold all that discovery lists; nothing before that.
+    std::function<std::optional<std::chrono::milliseconds>()> viewAge;
 };
 
 /// Counts since the start of the process.
@@ -80,6 +85,8 @@
     Load::LivenessHooks livenessHooks();
     Placement::TokenFlowHooks flowHooks();
     Placement::TokenPlacerHooks placerHooks();
+    void noteAnswer(Core::FlowKey const&, Placement::TokenFlow const&, std::chrono::nanoseconds);
+    std::string nameOf(Core::UpstreamId) const;
     void noteUnlisted(Directory::UpstreamRecord const&);
     void giveUpFlows(Core::UpstreamId, std::string_view cause);
     bool notePause();
@@ -89,6 +96,7 @@
     TokenBalancerOptions m_options;
     TokenBalancerHooks m_hooks;
     Telemetry::Distribution& m_answerTimes;
+    FlowLog m_log;
     TokenBalancerCounters m_counters;
     Directory::UpstreamDirectory m_directory;
     Load::LocalLoad m_load;
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -87,9 +87,10 @@
     return unconfirmed;
 }
 
-bool TokenFlowTable::recordPacket(Core::FlowKey const& key, Core::UpstreamId upstream, std::uint32_t sequence,
-    std::uint32_t acknowledgement, std::uint16_t length)
+bool TokenFlowTable::recordPacket(TokenPacket const& packet, Core::UpstreamId upstream)
 {
+    auto const& key = packet.flow;
+    auto acknowledgement = packet.acknowledgement;
     auto position = m_flows.find(key);
     bool isNew = position == m_flows.end();
     auto* flow = isNew ? add(key, upstream) : &position->second;
@@ -110,24 +111,25 @@
     if (isProgress) {
         flow->acknowledgement = acknowledgement;
         if (flow->requestSince)
-            m_hooks.requestAnswered(upstream, m_clock.now() - *flow->requestSince);
+            m_hooks.requestAnswered(key, *flow, m_clock.now() - *flow->requestSince);
         flow->requestSince.reset();
     }
-    auto end = sequence + length;
-    if (length != 0 && (isFirst || isAfter(end, flow->sentUpTo))) {
+    auto end = packet.sequence + packet.length;
+    if (packet.length != 0 && (isFirst || isAfter(end, flow->sentUpTo))) {
         flow->sentUpTo = end;
         if (!flow->requestSince)
-            startRequest(key, *flow);
+            startRequest(packet, *flow);
     }
     // A caller may acknowledge an answer long after it arrived, with its next request.
-    return isProgress && (isFirst || length == 0);
+    return isProgress && (isFirst || packet.length == 0);
 }
 
-void TokenFlowTable::startRequest(Core::FlowKey const& key, TokenFlow& flow)
+void TokenFlowTable::startRequest(TokenPacket const& packet, TokenFlow& flow)
 {
     auto now = m_clock.now();
     flow.requestSince = now;
-    m_checks.push_back({ key, now });
+    flow.requestId = packet.requestId;
+    m_checks.push_back({ packet.flow, now });
     m_hooks.requestStarted(flow.upstream);
 }
 
@@ -150,15 +152,15 @@
     m_flows.erase(flow);
 }
 
-std::vector<std::pair<Core::FlowKey, std::uint32_t>> TokenFlowTable::removeAll(Core::UpstreamId upstream)
+std::vector<TokenFlowTable::Ended> TokenFlowTable::removeAll(Core::UpstreamId upstream)
 {
-    std::vector<std::pair<Core::FlowKey, std::uint32_t>> established;
+    std::vector<Ended> established;
     absl::erase_if(m_flows, [&](auto const& entry) {
         auto const& [key, flow] = entry;
         if (flow.upstream != upstream)
             return false;
         if (flow.isEstablished && !flow.isClosed)
-            established.emplace_back(key, flow.acknowledgement);
+            established.push_back({ key, flow.acknowledgement, flow.requestSince ? flow.requestId : 0 });
         endCounts(flow);
         return true;
     });
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Core.h>
+#include <LibPlacement/TokenPacket.h>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -21,6 +22,8 @@
     Core::TimePoint lastPacketAt;
     /// When the request in flight was first forwarded; nothing while none is.
     std::optional<Core::TimePoint> requestSince;
+    /// Id of the request in flight; 0 where the caller's bytes don't show it.
+    std::uint64_t requestId { 0 };
     /// Last acknowledgement number of the caller: a reset must lie near it.
     std::uint32_t acknowledgement { 0 };
     /// Sequence number after the last byte that the caller sent.
@@ -36,7 +39,7 @@
     std::function<void(Core::UpstreamId)> closed;
     std::function<void(Core::UpstreamId)> requestStarted;
     /// The first bytes of the answer were acknowledged after this time.
-    std::function<void(Core::UpstreamId, std::chrono::nanoseconds)> requestAnswered;
+    std::function<void(Core::FlowKey const&, TokenFlow const&, std::chrono::nanoseconds)> requestAnswered;
     /// The flow ended while the request was in flight.
     std::function<void(Core::UpstreamId)> requestDropped;
 };
@@ -44,6 +47,14 @@
 /// The flows that passed this balancer recently. Not thread-safe.
 class TokenFlowTable {
 public:
+    /// What a reset of a flow and a line about it need.
+    struct Ended {
+        Core::FlowKey flow;
+        std::uint32_t acknowledgement { 0 };
+        /// Id of the request that was in flight; 0: none, or unknown.
+        std::uint64_t requestId { 0 };
+    };
+
     struct Silent {
         Core::FlowKey flow;
         Core::UpstreamId upstream;
@@ -61,13 +72,12 @@
     /// Records another packet of the caller that goes to the upstream. True when it shows that the upstream answers at
     /// present: an acknowledgement of new data without a request, or the first packet after an opening one that was
     /// recorded here.
-    bool recordPacket(Core::FlowKey const&, Core::UpstreamId, std::uint32_t sequence, std::uint32_t acknowledgement,
-        std::uint16_t length);
+    bool recordPacket(TokenPacket const&, Core::UpstreamId);
     /// The caller has sent its last data; the record goes away when it expires.
     void close(Core::FlowKey const&);
     void remove(Core::FlowKey const&);
-    /// Removes the flows of an upstream and returns the established ones with their acknowledgement numbers.
-    std::vector<std::pair<Core::FlowKey, std::uint32_t>> removeAll(Core::UpstreamId);
+    /// Removes the flows of an upstream and returns the established ones that are open.
+    std::vector<Ended> removeAll(Core::UpstreamId);
     bool holdsFlowOf(Core::UpstreamId) const;
     /// Opens that the caller has not gone on with for the limit, each reported once.
     std::vector<Silent> takeUnconfirmed(std::chrono::milliseconds limit);
@@ -89,7 +99,7 @@
 
     TokenFlow* add(Core::FlowKey const&, Core::UpstreamId);
     void moveTo(TokenFlow&, Core::UpstreamId);
-    void startRequest(Core::FlowKey const&, TokenFlow&);
+    void startRequest(TokenPacket const&, TokenFlow&);
     void endCounts(TokenFlow const&);
 
     Core::Clock const& m_clock;
--- a/Libraries/LibPlacement/TokenPlacer.cpp
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -53,7 +53,8 @@
     if (!record)
         return decideUnknown(packet);
     auto id = record->entry.upstream.id;
-    if (m_flows.recordPacket(packet.flow, id, packet.sequence, packet.acknowledgement, packet.length))
+    bool isFirstHere = !m_flows.find(packet.flow);
+    if (m_flows.recordPacket(packet, id))
         m_hooks.progressed(id);
     if (record->isSuperseded || m_hooks.isLost(id)) {
         m_flows.remove(packet.flow);
@@ -61,7 +62,7 @@
     }
     if (packet.kind == PacketKind::Close)
         m_flows.close(packet.flow);
-    return { Verdict::Forward, Reason::Token, record, record->token };
+    return { Verdict::Forward, Reason::Token, record, record->token, isFirstHere };
 }
 
 TokenDecision TokenPlacer::decideUnknown(TokenPacket const& packet)
--- a/Libraries/LibPlacement/TokenPlacer.h
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -4,6 +4,7 @@
 #include <LibDirectory/Directory.h>
 #include <LibPlacement/Decision.h>
 #include <LibPlacement/TokenFlowTable.h>
+#include <LibPlacement/TokenPacket.h>
 
 #include <chrono>
 #include <cstdint>
@@ -12,17 +13,6 @@
 
 namespace Chicorytally::Placement {
 
-/// What the placer needs to know of one packet of a caller.
-struct TokenPacket {
-    Core::FlowKey flow;
-    PacketKind kind { PacketKind::Data };
-    Directory::RoutingToken token { 0 };
-    std::uint32_t sequence { 0 };
-    std::uint32_t acknowledgement { 0 };
-    /// Bytes of data.
-    std::uint16_t length { 0 };
-};
-
 struct TokenDecision {
     Verdict verdict { Verdict::Drop };
     Reason reason { Reason::UnknownService };
@@ -30,6 +20,8 @@
     Directory::UpstreamRecord const* upstream { nullptr };
     /// To be written into the packet; set for Forward.
     Directory::RoutingToken token { 0 };
+    /// The first packet here of a flow that another balancer opened.
+    bool isFirstHere { false };
 };
 
 struct TokenPlacerOptions {
--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -1,11 +1,15 @@
 #include <LibTelemetry/EventLog.h>
 
+#include <LibTelemetry/LineBuffer.h>
+
 #include <algorithm>
 #include <cctype>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 namespace Chicorytally::Telemetry {
 
@@ -30,9 +34,59 @@
     return log4cxx::Level::getInfo();
 }
 
+// A second of the lines that the event limits admit at most.
+static constexpr std::size_t BufferCapacity = std::size_t { 256 } * 1024;
+
+static LineBuffer& standardOutput()
+{
+    static LineBuffer s_buffer { STDOUT_FILENO, BufferCapacity };
+    return s_buffer;
+}
+
+namespace {
+
+    /// Hands each line to the buffer of standard output.
+    class BufferAppender final : public log4cxx::AppenderSkeleton {
+    public:
+        explicit BufferAppender(log4cxx::LayoutPtr lineLayout)
+            : m_lineLayout(std::move(lineLayout))
+        {
+        }
+
+        void append(log4cxx::spi::LoggingEventPtr const& event, log4cxx::helpers::Pool& pool) override
+        {
+            m_line.clear();
+            m_lineLayout->format(m_line, event, pool);
+            standardOutput().add(m_line);
+        }
+        void close() override { }
+        bool requiresLayout() const override { return false; }
+
+    private:
+        log4cxx::LayoutPtr m_lineLayout;
+        log4cxx::LogString m_line;
+    };
+
+}
+
+static log4cxx::LayoutPtr lineLayout()
+{
+    return std::make_shared<log4cxx::PatternLayout>("time=%d{ISO8601} level=%p %m%n");
+}
+
+void initializeBufferedLog(Level level)
+{
+    log4cxx::BasicConfigurator::configure(std::make_shared<BufferAppender>(lineLayout()));
+    logger()->setLevel(toLog4cxx(level));
+}
+
+void flushLog() { standardOutput().flush(); }
+
+std::uint64_t droppedLogLines() { return standardOutput().droppedLines(); }
+
 void initializeLog(Level level)
 {
-    auto layout = std::make_shared<log4cxx::PatternLayout>("time=%d{ISO8601} level=%p %m%n");
+    auto layout = lineLayout();
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(toLog4cxx(level));
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -36,6 +36,13 @@
 /// Sets log4cxx up to write one line an event to standard error. Nothing below the level is written.
 void initializeLog(Level);
 
+/// The same on standard output, through a buffer that never blocks: to be used by a process with one thread, which
+/// calls flushLog() often and once more at its end.
+void initializeBufferedLog(Level);
+void flushLog();
+/// Lines that the buffer had no room for.
+std::uint64_t droppedLogLines();
+
 /// Parses "debug", "info", "warn" or "error"; false for any other text.
 bool parseLevel(std::string_view text, Level&);
 
--- /dev/null
+++ b/Libraries/LibTelemetry/LineBuffer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Chicorytally::Telemetry {
+
+/// Lines on their way to a descriptor. Adding never blocks: lines beyond the capacity are dropped and counted, and a
+/// flush writes only as much as the descriptor takes now. Not thread-safe.
+class LineBuffer {
+public:
+    LineBuffer(int descriptor, std::size_t capacity);
+
+    void add(std::string_view line);
+    /// Writes what the descriptor takes without blocking; says how many lines were dropped before.
+    void flush();
+    std::uint64_t droppedLines() const { return m_dropped; }
+    std::size_t size() const { return m_bytes.size(); }
+
+private:
+    int m_descriptor;
+    std::size_t m_capacity;
+    std::string m_bytes;
+    std::uint64_t m_dropped { 0 };
+    std::uint64_t m_reportedDropped { 0 };
+};
+
+}
--- a/Libraries/LibTelemetry/Telemetry.h
+++ b/Libraries/LibTelemetry/Telemetry.h
@@ -4,6 +4,8 @@
 
 #include <LibTelemetry/AdminServer.h>
 #include <LibTelemetry/Distribution.h>
+#include <LibTelemetry/EventLimiter.h>
 #include <LibTelemetry/EventLog.h>
+#include <LibTelemetry/LineBuffer.h>
 #include <LibTelemetry/Metrics.h>
 #include <LibTelemetry/Tracer.h>
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -24,7 +24,8 @@
     std::vector<Core::FlowKey> resets;
     Balancer::TokenBalancer balancer { clock, { .zone = Here, .randomSeed = 1 },
         { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
-            .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); } },
+            .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); },
+            .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; } },
         metrics };
 
     Fixture()
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -47,7 +47,7 @@
         { .opened = [this](auto id) { ++openFlows[id.value()]; },
             .closed = [this](auto id) { --openFlows[id.value()]; },
             .requestStarted = [this](auto id) { ++requests[id.value()]; },
-            .requestAnswered = [this](auto id, auto) { --requests[id.value()]; },
+            .requestAnswered = [this](auto const&, auto const& flow, auto) { --requests[flow.upstream.value()]; },
             .requestDropped = [this](auto id) { --requests[id.value()]; } } };
     Placement::TokenPlacer placer { clock, {}, directory, flows,
         { .choose =
@@ -276,6 +276,16 @@
     mutable Core::TimePoint m_now { 24h };
 };
 
+Placement::TokenPacket request(Core::FlowKey const& flow)
+{
+    Placement::TokenPacket packet;
+    packet.flow = flow;
+    packet.sequence = 1;
+    packet.acknowledgement = 100;
+    packet.length = 50;
+    return packet;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(TokenFlowTable)
@@ -285,11 +295,12 @@
     // Guards against a request and its check that were given different start times.
     MovingClock clock;
     auto ignore = [](auto) {};
-    Placement::TokenFlowTable flows { clock, 10, { ignore, ignore, ignore, [](auto, auto) {}, ignore } };
+    Placement::TokenFlowTable flows { clock, 10,
+        { ignore, ignore, ignore, [](auto const&, auto const&, auto) {}, ignore } };
     Core::FlowKey key { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
     Core::UpstreamId upstream { 1 };
     flows.recordOpen(key, upstream);
-    flows.recordPacket(key, upstream, 1, 100, 50);
+    flows.recordPacket(request(key), upstream);
     BOOST_TEST(flows.takeSilent(200ms).empty());
     clock.advance(200ms);
     auto silent = flows.takeSilent(200ms);
@@ -303,9 +314,10 @@
     // Guards against a frozen process that wakes and suspects every upstream.
     Core::ManualClock clock;
     auto ignore = [](auto) {};
-    Placement::TokenFlowTable flows { clock, 10, { ignore, ignore, ignore, [](auto, auto) {}, ignore } };
+    Placement::TokenFlowTable flows { clock, 10,
+        { ignore, ignore, ignore, [](auto const&, auto const&, auto) {}, ignore } };
     Core::FlowKey key { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
-    flows.recordPacket(key, Core::UpstreamId { 1 }, 1, 100, 50);
+    flows.recordPacket(request(key), Core::UpstreamId { 1 });
     clock.advance(4s);
     flows.restartRequests();
     BOOST_TEST(flows.takeSilent(200ms).empty());
@@ -318,7 +330,8 @@
     // Guards against a flood of opens that takes the memory of established flows.
     Core::ManualClock clock;
     auto ignore = [](auto) {};
-    Placement::TokenFlowTable flows { clock, 1, { ignore, ignore, ignore, [](auto, auto) {}, ignore } };
+    Placement::TokenFlowTable flows { clock, 1,
+        { ignore, ignore, ignore, [](auto const&, auto const&, auto) {}, ignore } };
     Core::FlowKey first { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
     Core::FlowKey second { { *Core::IpAddress::parse("100.64.0.7"), 4001 }, Address };
     flows.recordOpen(first, Core::UpstreamId { 1 });
--- a/Tests/Platform/TestFlowPacket.cpp
+++ b/Tests/Platform/TestFlowPacket.cpp
@@ -45,6 +45,22 @@
     BOOST_TEST(bytes == expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(RequestIdIsFoundInTheData)
+{
+    // Guards against lines that name another request, and against reads past the data.
+    auto idOf = [](std::string const& data) {
+        auto bytes = openingPacket();
+        bytes[16] = static_cast<std::uint8_t>(data.size() >> 8U);
+        bytes[17] = static_cast<std::uint8_t>(data.size());
+        bytes.insert(bytes.end(), data.begin(), data.end());
+        return Platform::decodePacket(bytes)->requestId;
+    };
+    BOOST_TEST(idOf("GET / HTTP/1.1\r\nX-Chicorytally-Request-Id: 69f6a0101043632a\r\n\r\n") == 0x69f6a0101043632aU);
+    BOOST_TEST(idOf("GET / HTTP/1.1\r\n\r\n") == 0U);
+    BOOST_TEST(idOf("X-Chicorytally-Request-Id: 69f6") == 0U);
+    BOOST_TEST(idOf("X-Chicorytally-Request-Id: none\r\n") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(CutPacketsAreRefused)
 {
     // Guards against reads past the end of a datagram.
