--- a/Libraries/LibBalancer/FlowLog.cpp
+++ b/Libraries/LibBalancer/FlowLog.cpp
@@ -73,9 +73,11 @@
 
 void FlowLog::gaveUp(Placement::TokenFlowTable::Ended const& flow, std::string_view upstream, std::string_view cause)
 {
-    if (!m_limiter.admit("flow_given_up"))
+    // A line for each request that was cut goes before those of flows that were idle.
+    std::string_view event = flow.requestId != 0 ? "request_cut" : "flow_given_up";
+    if (!m_limiter.admit(event))
         return;
-    logEvent(Level::Info, "flow_given_up",
+    logEvent(Level::Info, event,
         { { "flow", nameOf(flow.flow) }, { "request", nameOf(flow.requestId) }, { "upstream", upstream },
             { "cause", cause } });
 }
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -9,6 +9,15 @@
 cmake --build build
 Meta/lint.sh
 
+# What the platform builds, as it builds it: from what is committed, without tests.
+release=$(mktemp -d)
+trap 'rm -rf "$release"' EXIT
+git archive HEAD | tar -x -C "$release"
+(cd "$release" && bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)" >"$release/build.log" 2>&1) || {
+    tail -n 40 "$release/build.log"
+    exit 1
+}
+
 known_red=()
 if [ -e KNOWN-RED.txt ]; then
     mapfile -t known_red < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
@@ -37,5 +46,13 @@
     "build/bin/Test${entry%%/*}" --run_test="${entry#*/}" --report_level=short || true
 done
 
+echo "== Soak"
+if Tests/Soak/soak.py --seed 7 --seconds 8 >build/Soak.log 2>&1; then
+    passed=$((passed + 1))
+else
+    failed=$((failed + 1))
+fi
+tail -n 3 build/Soak.log
+
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
