--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -52,7 +52,7 @@
 }
 
 std::unique_ptr<Subscription> Subscription::create(EventLoop::Loop& loop, Core::Clock const& clock,
-    SubscriptionOptions options, SubscriptionHooks hooks, std::string& error)
+    SubscriptionOptions const& options, SubscriptionHooks hooks, std::string& error)
 {
     std::unique_ptr<Subscription> subscription { new Subscription { loop, clock, options, std::move(hooks) } };
     subscription->m_server
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -47,7 +47,7 @@
 public:
     /// Nothing when the address can't be bound; the error says why.
     static std::unique_ptr<Subscription> create(
-        EventLoop::Loop&, Core::Clock const&, SubscriptionOptions, SubscriptionHooks, std::string& error);
+        EventLoop::Loop&, Core::Clock const&, SubscriptionOptions const&, SubscriptionHooks, std::string& error);
     Subscription(Subscription const&) = delete;
     Subscription& operator=(Subscription const&) = delete;
 
