--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -7,9 +7,13 @@
 #include <LibPlacement/Placement.h>
 #include <LibTelemetry/Telemetry.h>
 
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace Chicorytally::Balancer {
 
@@ -90,7 +94,6 @@
     void noteUnlisted(Directory::UpstreamRecord const&);
     void giveUpFlows(Core::UpstreamId, std::string_view cause);
     bool notePause();
-    void count(Placement::TokenDecision const&);
 
     Core::Clock const& m_clock;
     TokenBalancerOptions m_options;
--- a/Libraries/LibDistribution/ReplicaFeed.h
+++ b/Libraries/LibDistribution/ReplicaFeed.h
@@ -34,7 +34,7 @@
         Reply reply;
     };
 
-    /// Nothing while the request may go on waiting.
+    /// False while the request may go on waiting.
     bool answer(Waiting const&) const;
     ItemBatch batchAfter(Core::Revision, std::chrono::milliseconds age) const;
 
--- a/Libraries/LibEventLoop/HttpClient.cpp
+++ b/Libraries/LibEventLoop/HttpClient.cpp
@@ -21,10 +21,6 @@
         return "timed_out";
     case HttpError::ConnectionClosed:
         return "connection_closed";
-    case HttpError::Malformed:
-        return "malformed";
-    case HttpError::TooLarge:
-        return "too_large";
     case HttpError::Busy:
         return "busy";
     }
--- a/Libraries/LibEventLoop/HttpClient.h
+++ b/Libraries/LibEventLoop/HttpClient.h
@@ -25,8 +25,6 @@
     None,
     TimedOut,
     ConnectionClosed,
-    Malformed,
-    TooLarge,
     Busy,
 };
 
--- a/Libraries/LibLoad/LocalLoad.h
+++ b/Libraries/LibLoad/LocalLoad.h
@@ -22,7 +22,6 @@
     void flowClosed(Core::UpstreamId upstream) { --m_loads[upstream].openFlows; }
     void requestStarted(Core::UpstreamId upstream) { ++m_loads[upstream].requestsInFlight; }
     void requestEnded(Core::UpstreamId upstream) { --m_loads[upstream].requestsInFlight; }
-    void forget(Core::UpstreamId upstream) { m_loads.erase(upstream); }
 
     UpstreamLoad of(Core::UpstreamId upstream) const
     {
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -167,12 +167,6 @@
     return established;
 }
 
-bool TokenFlowTable::holdsFlowOf(Core::UpstreamId upstream) const
-{
-    return std::ranges::any_of(
-        m_flows, [&](auto const& entry) { return entry.second.upstream == upstream && !entry.second.isClosed; });
-}
-
 std::vector<TokenFlowTable::Silent> TokenFlowTable::takeSilent(std::chrono::milliseconds limit)
 {
     std::vector<Silent> silent;
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -78,7 +78,6 @@
     void remove(Core::FlowKey const&);
     /// Removes the flows of an upstream and returns the established ones that are open.
     std::vector<Ended> removeAll(Core::UpstreamId);
-    bool holdsFlowOf(Core::UpstreamId) const;
     /// Opens that the caller has not gone on with for the limit, each reported once.
     std::vector<Silent> takeUnconfirmed(std::chrono::milliseconds limit);
     /// Flows whose request has been in flight for the limit since it was last reported.
