LibDistribution: Ask the store next after a peer failed

Cause: a balancer whose two preferred peers were cut off at once asked one after the other. By the time the second had timed out, the back-off of the first was over, so that it was asked again and the store only after 4 s.

After a failure of a peer the store is now asked before the next peer, and a source that failed is tried again without a wait, so that a try costs 0.3 s instead of 1.3 s.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -45,8 +45,10 @@
 StoreFollower::Source& StoreFollower::chooseSource()
 {
     auto isUsable = [this](Source const& source) { return source.blockedUntil <= m_clock.now(); };
-    // A listing takes one call, and peers that started at the same time have nothing to give.
-    if (m_isListing && isUsable(m_sources[m_storeIndex]))
+    // A listing takes one call, and peers that started at the same time have nothing to give. After a peer failed, the
+    // next one may be lost with it, and the view has aged for a whole watch already.
+    bool isStoreFirst = m_isListing || m_hasPeerFailed;
+    if (isStoreFirst && isUsable(m_sources[m_storeIndex]))
         return m_sources[m_storeIndex];
     auto usable = std::ranges::find_if(m_sources, isUsable);
     if (usable != m_sources.end())
@@ -70,7 +72,9 @@
         return StoreRequest { std::nullopt, ListRequest { m_listed.empty() ? std::string {} : m_listed.back().key } };
     // A peer that is asked for changes since the beginning gives a listing, at once.
     auto after = m_isListing ? Core::Revision {} : m_replica.completeUpTo();
-    return StoreRequest { source.peer, WatchRequest { after, m_options.watchWait } };
+    // A source that failed answers at once or is left again, before the view ages.
+    auto wait = source.failures == 0 ? m_options.watchWait : milliseconds { 0 };
+    return StoreRequest { source.peer, WatchRequest { after, wait } };
 }
 
 std::optional<milliseconds> StoreFollower::delay() const
@@ -92,6 +96,7 @@
             return;
         }
     }
+    m_hasPeerFailed = false;
     if (std::exchange(source.failures, 0) != 0 && m_hooks.regained)
         m_hooks.regained(source.peer);
 }
@@ -138,6 +143,7 @@
 
 void StoreFollower::noteFailure(Source& source, StoreFailure failure)
 {
+    m_hasPeerFailed = source.peer.has_value();
     if (source.failures++ == 0 && m_hooks.lost)
         m_hooks.lost(source.peer, failure);
     source.blockedUntil = m_clock.now() + backoffOf(source);
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -97,7 +97,7 @@
 
 /// Keeps a replica equal to the store: lists all items, then watches for changes, and lists again when the history that
 /// it would need is gone. Follows a peer that relays the store where it can, so that few balancers call the store, and
-/// another source as soon as one fails. One request is under way at a time. Not thread-safe.
+/// asks the store itself as soon as a peer fails. One request is under way at a time. Not thread-safe.
 class StoreFollower {
 public:
     StoreFollower(Core::Clock const&, FollowerOptions, ItemReplica&, FollowerHooks);
@@ -137,6 +137,8 @@
     std::size_t m_storeIndex;
     /// Set while a request is under way.
     Source* m_asked { nullptr };
+    /// The last request went to a peer and failed.
+    bool m_hasPeerFailed { false };
     /// The next request to the store reads a page.
     bool m_isListing { true };
     bool m_isPageAsked { false };
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -181,6 +181,50 @@
     BOOST_TEST(regained == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(StoreIsAskedNextAfterAPeerFailed)
+{
+    // Guards against a balancer that asks one lost peer after the other while changes wait in the store.
+    Core::Endpoint const SecondPeer = *Core::Endpoint::parse("10.0.0.2:7000");
+    Distribution::StoreFollower asking { clock, { .preferredPeers = { FirstPeer, SecondPeer } }, replica, hooks() };
+    auto askOnce = [&] {
+        auto request = nextAfterDelay(asking);
+        BOOST_REQUIRE(request.has_value());
+        return request->peer;
+    };
+    askOnce();
+    asking.answered({ .items = { item("a", 1) }, .asOf = Core::Revision { 10 } });
+    Core::TimePoint freshAt = clock.now();
+    for (int i = 0; i < 20; ++i) {
+        if (askOnce()) {
+            clock.advance(1300ms);
+            asking.failed(StoreFailure::Unreachable);
+        } else {
+            asking.answered({ .asOf = Core::Revision { 10 } });
+            freshAt = clock.now();
+        }
+        BOOST_TEST((clock.now() - freshAt <= 2s));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(FailedPeerIsTriedAgainWithoutAWait)
+{
+    // Guards against a view that ages for a whole watch each time that a lost peer is tried again.
+    ask();
+    answer();
+    BOOST_CHECK(ask() == FirstPeer);
+    following.failed(StoreFailure::Unreachable);
+    ask();
+    answer();
+    clock.advance(1s);
+    auto request = nextAfterDelay(following);
+    BOOST_REQUIRE(request.has_value());
+    BOOST_CHECK(request->peer == FirstPeer);
+    BOOST_CHECK(std::get<WatchRequest>(request->call).wait == 0ms);
+    answer();
+    request = nextAfterDelay(following);
+    BOOST_CHECK(std::get<WatchRequest>(request->call).wait > 0ms);
+}
+
 BOOST_AUTO_TEST_CASE(StalePeerIsLeft)
 {
     // Guards against two balancers that follow each other while nobody reads the store.
