LibDirectory, Platform: Let entries of foreign writers take nothing

Cause: found by reading. An entry with a service that the configuration doesn't know and the address of a living upstream superseded that upstream, which ended its flows; it counted as a reachable upstream for readiness, too. An entry that was overwritten with something unreadable left the upstream in use by what it had said before.

--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -15,7 +15,15 @@
 {
     if (table.version <= m_routes.version)
         return false;
+    bool areServicesChanged = table.services != m_routes.services;
     m_routes = std::move(table);
+    if (!areServicesChanged)
+        return true;
+    // An entry may arrive before the version that declares its service.
+    for (auto& [id, record] : m_records) {
+        if (record->isListed)
+            supersedeOthersAt(*record);
+    }
     return true;
 }
 
@@ -67,6 +75,9 @@
 
 void UpstreamDirectory::supersedeOthersAt(UpstreamRecord& record)
 {
+    // An entry of a foreign writer must not end the flows of the upstream whose address it names.
+    if (!isDeclared(record.entry.service))
+        return;
     auto& holder = m_byAddress[record.entry.upstream.address];
     auto* former = holder;
     // Entries may arrive out of order; the address belongs to the process that started last.
@@ -182,10 +193,15 @@
     return returned != m_zoneReturns.end() && m_clock.now() - returned->second < m_options.returnHold;
 }
 
+bool UpstreamDirectory::isDeclared(Core::ServiceId service) const
+{
+    return m_routes.version == 0 || m_routes.services.contains(service);
+}
+
 bool UpstreamDirectory::isOpenable(UpstreamRecord const& record) const
 {
-    return record.isListed && !record.isTokenTaken && !record.entry.upstream.isDraining()
-        && !isZoneOut(record.entry.upstream.zone);
+    return record.isListed && !record.isTokenTaken && isDeclared(record.entry.service)
+        && !record.entry.upstream.isDraining() && !isZoneOut(record.entry.upstream.zone);
 }
 
 bool UpstreamDirectory::isZoneOut(Core::ZoneId zone) const { return m_zonesOut.contains(zone); }
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -95,6 +95,8 @@
     bool isZoneOut(Core::ZoneId) const;
 
 private:
+    /// Whether the routes in force know the service; true while there are none.
+    bool isDeclared(Core::ServiceId) const;
     void addRecord(UpstreamEntry);
     void updateRecord(UpstreamRecord&, UpstreamEntry);
     void supersedeOthersAt(UpstreamRecord&);
--- a/Tests/LibBalancer/SiteModel.cpp
+++ b/Tests/LibBalancer/SiteModel.cpp
@@ -152,6 +152,7 @@
     tickBalancer(index, node.life);
 }
 
+    table.services.emplace(Service, Directory::ServiceLimits {});
 void SiteModel::tickBalancer(std::size_t index, std::uint64_t life)
 {
     auto& node = *m_nodes[index];
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -34,6 +34,7 @@
         table.version = 1;
         table.routes.emplace(Address, Directory::Route { "r", Address, { { Register, 1 } } });
         balancer.applyRoutes(table);
+        table.services.emplace(Register, Directory::ServiceLimits {});
         add(1, Here);
         add(2, Here);
         add(3, There);
--- a/Tests/LibDirectory/TestUpstreamDirectory.cpp
+++ b/Tests/LibDirectory/TestUpstreamDirectory.cpp
@@ -98,6 +98,29 @@
     BOOST_TEST(!isOpenable(1));
 }
 
+BOOST_AUTO_TEST_CASE(EntryOfAnUndeclaredServiceTakesNoAddress)
+{
+    // Guards against a foreign entry that ends the flows of the upstream whose address it names.
+    Directory::RouteTable table;
+    table.version = 1;
+    table.services.emplace(Register, Directory::ServiceLimits {});
+    directory.applyRoutes(table);
+    directory.applyUpstream(entry(1, 1));
+    auto foreign = entry(2, 2, "10.0.0.1:80");
+    foreign.service = Directory::serviceId("packs");
+    directory.applyUpstream(foreign);
+    BOOST_TEST(isOpenable(1));
+    BOOST_TEST(!isOpenable(2));
+    BOOST_TEST(events.empty());
+
+    // A later version may declare the service; the address then belongs to the process that started last.
+    table.version = 2;
+    table.services.emplace(foreign.service, Directory::ServiceLimits {});
+    directory.applyRoutes(table);
+    BOOST_TEST(!isOpenable(1));
+    BOOST_TEST(isOpenable(2));
+}
+
 BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdIsReported)
 {
     // Guards against flows that wait for a process that has ended.
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -30,6 +30,7 @@
 {
     Directory::RouteTable table;
     table.version = version;
+    table.services.emplace(Register, Directory::ServiceLimits {});
     if (hasRoute)
         table.routes.emplace(Address, Directory::Route { "r", Address, { { Register, 1 } } });
     return table;
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -97,10 +97,23 @@
 {
     // Guards against a foreign entry that stops the process or is used half read.
     std::string error;
-    BOOST_TEST(!decode(item.key, item.value, error).has_value());
+    auto change = decode(item.key, item.value, error);
+    auto const* upstream = change ? std::get_if<Platform::UpstreamChange>(&*change) : nullptr;
+    BOOST_TEST((!change || (upstream && !upstream->entry)));
     BOOST_TEST(!error.empty());
 }
 
+BOOST_AUTO_TEST_CASE(UnreadableEntryEndsTheFormerOne)
+{
+    // Guards against new flows to an upstream whose entry was overwritten with something that can't be read.
+    std::string error;
+    auto change = decode("servers/i-7f3a", "no json", error);
+    BOOST_REQUIRE(change.has_value());
+    auto const& upstream = std::get<Platform::UpstreamChange>(*change);
+    BOOST_TEST(upstream.upstream.value() == 0x7f3aU);
+    BOOST_TEST(!upstream.entry.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(OtherKeysAreNoError)
 {
     // Guards against log lines for keys that don't concern balancers.
