LibRelay, LibBalancer: Report upstreams that don't answer to other balancers

Cause: each balancer found a dark upstream by losing a request on it, and reset its own idle flows half a second later. With tens of balancers, a flow whose balancer had little traffic to the upstream lost its next request.

A balancer whose first probe of a suspect gets no answer tells the relays in a sealed datagram, which tell their followers; each probes for itself before it acts, so that a balancer behind a cut link takes nothing from the others.

Ruled out: reports on suspicion alone, which would probe every slow upstream from every balancer.

LibRelay/ReportReachesTheFollowersOfTheSeed, LibBalancer/ReportedUpstreamLosesItsIdleFlows... failed before.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -67,6 +67,11 @@
                 ++m_counters.probes;
                 m_hooks.startProbe(id, record->entry.upstream.address);
             },
+        .unanswered =
+            [this](Core::UpstreamId id) {
+                if (m_hooks.reportUnanswered)
+                    m_hooks.reportUnanswered(id);
+            },
         .lost =
             [this](Core::UpstreamId id, Load::Suspicion suspicion, Load::LivenessProbe probe) {
                 logEvent(Level::Warn, "upstream_lost",
@@ -210,6 +215,14 @@
     m_liveness.probeEnded(id, result);
 }
 
+void TokenBalancer::noteReported(Core::UpstreamId id)
+{
+    if (!m_directory.find(id))
+        return;
+    logEvent(Level::Info, "upstream_reported", { { "upstream", nameOf(id) } });
+    m_liveness.suspect(id, Load::Suspicion::Reported, m_clock.now() - m_options.reportLimit);
+}
+
 bool TokenBalancer::notePause()
 {
     auto elapsed = m_clock.now() - std::exchange(m_lastTick, m_clock.now());
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -31,6 +31,8 @@
     std::chrono::milliseconds silenceLimit { 200 };
     /// Answers that take longer are logged.
     std::chrono::milliseconds lateLimit { 500 };
+    /// A report of another balancer counts for nothing when callers here got an answer this recently.
+    std::chrono::milliseconds reportLimit { 150 };
     /// A longer time between two ticks means that the process was paused.
     std::chrono::milliseconds pauseLimit { 250 };
 };
@@ -38,6 +40,8 @@
 struct TokenBalancerHooks {
     /// Starts a probe of the upstream; its result goes to probeEnded().
     std::function<void(Core::UpstreamId, Core::Endpoint const&)> startProbe;
+    /// Tells other balancers of an upstream that answers neither this balancer's traffic nor its probe.
+    std::function<void(Core::UpstreamId)> reportUnanswered;
     /// Sends a reset to the caller, with its last acknowledgement number as sequence number.
     std::function<void(Core::FlowKey const&, std::uint32_t sequence)> sendReset;
     /// How long ago the directory was known to hold all that discovery lists; nothing before that.
@@ -71,6 +75,8 @@
     void setComplete(bool);
 
     void probeEnded(Core::UpstreamId, Load::LivenessProbe);
+    /// Another balancer got no answer from the upstream: it is probed from here before a request is lost on it.
+    void noteReported(Core::UpstreamId);
     /// To be called every 50 ms.
     void tick();
     /// Looks for upstreams that have gone silent; to be called after each batch of packets, and does little when there
--- a/Libraries/LibEventLoop/HttpServer.cpp
+++ b/Libraries/LibEventLoop/HttpServer.cpp
@@ -40,6 +40,14 @@
     m_routes.emplace(path, std::move(handler));
 }
 
+static Core::IpAddress clientOf(evhttp_request* request)
+{
+    char* address = nullptr;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request), &address, &port);
+    return Core::IpAddress::parse(address ? address : "").value_or(Core::IpAddress {});
+}
+
 void HttpServer::answer(evhttp_request* request) const
 {
     auto const* uri = evhttp_request_get_evhttp_uri(request);
@@ -50,7 +58,8 @@
         return;
     }
     auto const* query = evhttp_uri_get_query(uri);
-    route->second(query ? query : "", [request](HttpResponse const& response) { send(request, response); });
+    route->second({ .query = query ? query : "", .client = clientOf(request) },
+        [request](HttpResponse const& response) { send(request, response); });
 }
 
 // libevent keeps a request whose client has gone until it is answered, and then frees it.
--- a/Libraries/LibEventLoop/HttpServer.h
+++ b/Libraries/LibEventLoop/HttpServer.h
@@ -14,14 +14,19 @@
 
 namespace Chicorytally::EventLoop {
 
+struct HttpRequest {
+    /// Without the question mark.
+    std::string query;
+    Core::IpAddress client;
+};
+
 /// Answers GET requests on the loop. Unknown paths are answered with 404.
 class HttpServer {
 public:
     using Handler = std::function<HttpResponse()>;
     /// Sends the answer; to be called once, now or later on the loop. Harmless after the client has gone.
     using Reply = std::function<void(HttpResponse)>;
-    /// Gets the query, without the question mark.
-    using DeferredHandler = std::function<void(std::string const& query, Reply)>;
+    using DeferredHandler = std::function<void(HttpRequest const&, Reply)>;
 
     /// Nothing when the endpoint can't be bound; the error says why.
     static std::unique_ptr<HttpServer> create(Loop&, Core::Endpoint const&, std::string& error);
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -42,6 +42,8 @@
         return "unanswered_open";
     case Suspicion::Unlisted:
         return "unlisted";
+    case Suspicion::Reported:
+        return "reported";
     }
     return "unknown";
 }
@@ -114,6 +116,9 @@
     if (state.liveness == Liveness::Alive)
         return;
     ++state.unansweredProbes;
+    bool isOwnFinding = state.suspicion != Suspicion::Unlisted && state.suspicion != Suspicion::Reported;
+    if (state.unansweredProbes == 1 && isOwnFinding && m_hooks.unanswered)
+        m_hooks.unanswered(upstream);
     if (result == LivenessProbe::Refused || state.unansweredProbes >= m_options.probesToConfirm)
         becomeUnreachable(upstream, state, result);
     else
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -42,6 +42,8 @@
     UnansweredOpen,
     /// Discovery dropped its entry.
     Unlisted,
+    /// Another balancer got no answer from it.
+    Reported,
 };
 
 std::string_view toString(Suspicion);
@@ -60,6 +62,8 @@
 struct LivenessHooks {
     /// Starts a probe of the upstream; its result goes to probeEnded().
     std::function<void(Core::UpstreamId)> startProbe;
+    /// A probe that the balancer's own traffic gave cause for got no answer; once a suspicion.
+    std::function<void(Core::UpstreamId)> unanswered;
     /// The upstream became unreachable, with the suspicion that started it and what the last probe found.
     std::function<void(Core::UpstreamId, Suspicion, LivenessProbe)> lost;
     /// An upstream that was unreachable answered.
--- a/Libraries/LibMessages/Envelope.cpp
+++ b/Libraries/LibMessages/Envelope.cpp
@@ -1,5 +1,6 @@
 #include <LibMessages/Envelope.h>
 
+#include <chrono>
 #include <memory>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -35,6 +36,13 @@
     return message.write(&protocol);
 }
 
+Core::Incarnation startIncarnation()
+{
+    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Core::Incarnation { static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()) };
+}
+
 EnvelopeSealer::EnvelopeSealer(PeerKey const& key, Core::VmId self, Core::Incarnation incarnation)
     : m_key(key)
     , m_self(self)
--- a/Libraries/LibMessages/gen/load_types.cpp
+++ b/Libraries/LibMessages/gen/load_types.cpp
@@ -799,6 +799,125 @@
 }
 
 
+UpstreamSuspicions::~UpstreamSuspicions() noexcept {
+}
+
+
+void UpstreamSuspicions::__set_upstreams(const std::vector<int64_t> & val) {
+  this->upstreams = val;
+}
+std::ostream& operator<<(std::ostream& out, const UpstreamSuspicions& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UpstreamSuspicions::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstreams = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->upstreams.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readI64(this->upstreams[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t UpstreamSuspicions::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UpstreamSuspicions");
+
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<int64_t> ::const_iterator _iter39;
+    for (_iter39 = this->upstreams.begin(); _iter39 != this->upstreams.end(); ++_iter39)
+    {
+      xfer += oprot->writeI64((*_iter39));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UpstreamSuspicions &a, UpstreamSuspicions &b) {
+  using ::std::swap;
+  swap(a.upstreams, b.upstreams);
+}
+
+UpstreamSuspicions::UpstreamSuspicions(const UpstreamSuspicions& other40) {
+  upstreams = other40.upstreams;
+}
+UpstreamSuspicions::UpstreamSuspicions(UpstreamSuspicions&& other41) noexcept {
+  upstreams = std::move(other41.upstreams);
+}
+UpstreamSuspicions& UpstreamSuspicions::operator=(const UpstreamSuspicions& other42) {
+  upstreams = other42.upstreams;
+  return *this;
+}
+UpstreamSuspicions& UpstreamSuspicions::operator=(UpstreamSuspicions&& other43) noexcept {
+  upstreams = std::move(other43.upstreams);
+  return *this;
+}
+void UpstreamSuspicions::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UpstreamSuspicions(";
+  out << "upstreams=" << to_string(upstreams);
+  out << ")";
+}
+
+
 LoadMessage::~LoadMessage() noexcept {
 }
 
@@ -812,6 +931,11 @@
   this->healthResults = val;
 __isset.healthResults = true;
 }
+
+void LoadMessage::__set_upstreamSuspicions(const UpstreamSuspicions& val) {
+  this->upstreamSuspicions = val;
+__isset.upstreamSuspicions = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadMessage& obj)
 {
   obj.printTo(out);
@@ -856,6 +980,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->upstreamSuspicions.read(iprot);
+          this->__isset.upstreamSuspicions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -883,6 +1015,11 @@
     xfer += this->healthResults.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.upstreamSuspicions) {
+    xfer += oprot->writeFieldBegin("upstreamSuspicions", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->upstreamSuspicions.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -892,29 +1029,34 @@
   using ::std::swap;
   swap(a.upstreamCounts, b.upstreamCounts);
   swap(a.healthResults, b.healthResults);
+  swap(a.upstreamSuspicions, b.upstreamSuspicions);
   swap(a.__isset, b.__isset);
 }
 
-LoadMessage::LoadMessage(const LoadMessage& other34) {
-  upstreamCounts = other34.upstreamCounts;
-  healthResults = other34.healthResults;
-  __isset = other34.__isset;
+LoadMessage::LoadMessage(const LoadMessage& other44) {
+  upstreamCounts = other44.upstreamCounts;
+  healthResults = other44.healthResults;
+  upstreamSuspicions = other44.upstreamSuspicions;
+  __isset = other44.__isset;
 }
-LoadMessage::LoadMessage(LoadMessage&& other35) noexcept {
-  upstreamCounts = std::move(other35.upstreamCounts);
-  healthResults = std::move(other35.healthResults);
-  __isset = other35.__isset;
+LoadMessage::LoadMessage(LoadMessage&& other45) noexcept {
+  upstreamCounts = std::move(other45.upstreamCounts);
+  healthResults = std::move(other45.healthResults);
+  upstreamSuspicions = std::move(other45.upstreamSuspicions);
+  __isset = other45.__isset;
 }
-LoadMessage& LoadMessage::operator=(const LoadMessage& other36) {
-  upstreamCounts = other36.upstreamCounts;
-  healthResults = other36.healthResults;
-  __isset = other36.__isset;
+LoadMessage& LoadMessage::operator=(const LoadMessage& other46) {
+  upstreamCounts = other46.upstreamCounts;
+  healthResults = other46.healthResults;
+  upstreamSuspicions = other46.upstreamSuspicions;
+  __isset = other46.__isset;
   return *this;
 }
-LoadMessage& LoadMessage::operator=(LoadMessage&& other37) noexcept {
-  upstreamCounts = std::move(other37.upstreamCounts);
-  healthResults = std::move(other37.healthResults);
-  __isset = other37.__isset;
+LoadMessage& LoadMessage::operator=(LoadMessage&& other47) noexcept {
+  upstreamCounts = std::move(other47.upstreamCounts);
+  healthResults = std::move(other47.healthResults);
+  upstreamSuspicions = std::move(other47.upstreamSuspicions);
+  __isset = other47.__isset;
   return *this;
 }
 void LoadMessage::printTo(std::ostream& out) const {
@@ -922,6 +1064,7 @@
   out << "LoadMessage(";
   out << "upstreamCounts="; (__isset.upstreamCounts ? (out << to_string(upstreamCounts)) : (out << "<null>"));
   out << ", " << "healthResults="; (__isset.healthResults ? (out << to_string(healthResults)) : (out << "<null>"));
+  out << ", " << "upstreamSuspicions="; (__isset.upstreamSuspicions ? (out << to_string(upstreamSuspicions)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/load_types.h
+++ b/Libraries/LibMessages/gen/load_types.h
@@ -29,6 +29,8 @@
 
 class HealthResults;
 
+class UpstreamSuspicions;
+
 class LoadMessage;
 
 typedef struct _UpstreamCount__isset {
@@ -310,10 +312,49 @@
 
 std::ostream& operator<<(std::ostream& out, const HealthResults& obj);
 
+
+class UpstreamSuspicions : public virtual ::apache::thrift::TBase {
+ public:
+
+  UpstreamSuspicions(const UpstreamSuspicions&);
+  UpstreamSuspicions(UpstreamSuspicions&&) noexcept;
+  UpstreamSuspicions& operator=(const UpstreamSuspicions&);
+  UpstreamSuspicions& operator=(UpstreamSuspicions&&) noexcept;
+  UpstreamSuspicions() noexcept {
+  }
+
+  virtual ~UpstreamSuspicions() noexcept;
+  std::vector<int64_t>  upstreams;
+
+  void __set_upstreams(const std::vector<int64_t> & val);
+
+  bool operator == (const UpstreamSuspicions & rhs) const
+  {
+    if (!(upstreams == rhs.upstreams))
+      return false;
+    return true;
+  }
+  bool operator != (const UpstreamSuspicions &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UpstreamSuspicions & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UpstreamSuspicions &a, UpstreamSuspicions &b);
+
+std::ostream& operator<<(std::ostream& out, const UpstreamSuspicions& obj);
+
 typedef struct _LoadMessage__isset {
-  _LoadMessage__isset() : upstreamCounts(false), healthResults(false) {}
+  _LoadMessage__isset() : upstreamCounts(false), healthResults(false), upstreamSuspicions(false) {}
   bool upstreamCounts :1;
   bool healthResults :1;
+  bool upstreamSuspicions :1;
 } _LoadMessage__isset;
 
 class LoadMessage : public virtual ::apache::thrift::TBase {
@@ -329,6 +370,7 @@
   virtual ~LoadMessage() noexcept;
   UpstreamCounts upstreamCounts;
   HealthResults healthResults;
+  UpstreamSuspicions upstreamSuspicions;
 
   _LoadMessage__isset __isset;
 
@@ -336,6 +378,8 @@
 
   void __set_healthResults(const HealthResults& val);
 
+  void __set_upstreamSuspicions(const UpstreamSuspicions& val);
+
   bool operator == (const LoadMessage & rhs) const
   {
     if (__isset.upstreamCounts != rhs.__isset.upstreamCounts)
@@ -346,6 +390,10 @@
       return false;
     else if (__isset.healthResults && !(healthResults == rhs.healthResults))
       return false;
+    if (__isset.upstreamSuspicions != rhs.__isset.upstreamSuspicions)
+      return false;
+    else if (__isset.upstreamSuspicions && !(upstreamSuspicions == rhs.upstreamSuspicions))
+      return false;
     return true;
   }
   bool operator != (const LoadMessage &rhs) const {
--- a/Libraries/LibMessages/load.thrift
+++ b/Libraries/LibMessages/load.thrift
@@ -36,7 +36,13 @@
     1: required list<HealthResult> results,
 }
 
+/// Upstreams from which the sender got no answer, neither to traffic nor to a probe. The receiver probes for itself.
+struct UpstreamSuspicions {
+    1: required list<i64> upstreams,
+}
+
 union LoadMessage {
     1: UpstreamCounts upstreamCounts,
     2: HealthResults healthResults,
+    3: UpstreamSuspicions upstreamSuspicions,
 }
--- /dev/null
+++ b/Libraries/LibRelay/PeerMessenger.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibCore/Core.h>
+#include <LibDataPath/DataPath.h>
+#include <LibEventLoop/EventLoop.h>
+#include <LibMessages/Messages.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Chicorytally::Relay {
+
+struct PeerMessengerOptions {
+    Core::Endpoint address;
+    Core::VmId self;
+    /// Greater after each restart; a receiver ignores the datagrams of an older one.
+    Core::Incarnation incarnation;
+    Messages::KeyRing keys;
+};
+
+/// Counts since the start of the process.
+struct PeerMessengerCounters {
+    std::uint64_t sent { 0 };
+    /// Datagrams that the kernel refused to send.
+    std::uint64_t sendFailures { 0 };
+    std::uint64_t received { 0 };
+    /// Datagrams that were not authentic, could not be read or were replayed.
+    std::uint64_t rejected { 0 };
+};
+
+/// Exchanges sealed datagrams with other balancers. What is lost is not repeated.
+class PeerMessenger {
+public:
+    using Receive = std::function<void(Messages::PeerMessage const&)>;
+
+    /// Nothing when the address can't be bound; the error says why.
+    static std::unique_ptr<PeerMessenger> create(
+        EventLoop::Loop&, PeerMessengerOptions const&, Receive, std::string& error);
+    PeerMessenger(PeerMessenger const&) = delete;
+    PeerMessenger& operator=(PeerMessenger const&) = delete;
+
+    void send(std::vector<Core::Endpoint> const& receivers, Messages::PeerMessage const&);
+    PeerMessengerCounters const& counters() const { return m_counters; }
+
+private:
+    PeerMessenger(EventLoop::Loop&, PeerMessengerOptions const&, DataPath::UdpSocket, Receive);
+    void receiveBatch();
+
+    DataPath::UdpSocket m_socket;
+    std::unique_ptr<DataPath::BatchReceiver> m_receiver;
+    Messages::EnvelopeSealer m_sealer;
+    Messages::EnvelopeOpener m_opener;
+    Receive m_receive;
+    std::unique_ptr<EventLoop::Subscription> m_subscription;
+    PeerMessengerCounters m_counters;
+};
+
+}
--- a/Libraries/LibRelay/PeerReader.cpp
+++ b/Libraries/LibRelay/PeerReader.cpp
@@ -9,9 +9,10 @@
 
 static constexpr int StatusOk = 200;
 
-PeerReader::PeerReader(EventLoop::Loop& loop, Messages::KeyRing const& keys)
+PeerReader::PeerReader(EventLoop::Loop& loop, Messages::KeyRing const& keys, std::uint16_t port)
     : m_loop(loop)
     , m_keys(keys)
+    , m_port(port)
 {
 }
 
@@ -21,7 +22,7 @@
     if (!client)
         client = std::make_unique<EventLoop::HttpClient>(m_loop, peer);
     auto target = "/changes?after=" + std::to_string(request.after.value())
-        + "&wait_ms=" + std::to_string(request.wait.count());
+        + "&wait_ms=" + std::to_string(request.wait.count()) + "&port=" + std::to_string(m_port);
     auto handle = [this, callback = std::move(callback)](auto response, EventLoop::HttpError error) {
         if (!response) {
             callback(std::nullopt, StoreFailure::Unreachable, std::string { toString(error) });
--- a/Libraries/LibRelay/PeerReader.h
+++ b/Libraries/LibRelay/PeerReader.h
@@ -4,6 +4,7 @@
 #include <LibEventLoop/EventLoop.h>
 #include <LibMessages/Messages.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,13 +20,15 @@
     using Callback
         = std::function<void(std::optional<Distribution::StoreAnswer>, Distribution::StoreFailure, std::string cause)>;
 
-    PeerReader(EventLoop::Loop&, Messages::KeyRing const&);
+    /// The port is where this balancer receives datagrams.
+    PeerReader(EventLoop::Loop&, Messages::KeyRing const&, std::uint16_t port);
 
     void watch(Core::Endpoint const& peer, Distribution::WatchRequest const&, Callback);
 
 private:
     EventLoop::Loop& m_loop;
     Messages::KeyRing m_keys;
+    std::uint16_t m_port;
     std::map<Core::Endpoint, std::unique_ptr<EventLoop::HttpClient>> m_clients;
 };
 
--- a/Libraries/LibRelay/PeerServer.cpp
+++ b/Libraries/LibRelay/PeerServer.cpp
@@ -8,32 +8,54 @@
 // A longer wait would keep the connection of a caller that has gone.
 static constexpr std::chrono::milliseconds MaxWait { 10'000 };
 
-std::unique_ptr<PeerServer> PeerServer::create(EventLoop::Loop& loop, Core::Endpoint const& endpoint,
-    Messages::PeerKey const& key, Distribution::ReplicaFeed& feed, std::string& error)
+// A follower asks again at least once a second.
+static constexpr std::chrono::seconds FollowerTimeout { 3 };
+
+std::unique_ptr<PeerServer> PeerServer::create(EventLoop::Loop& loop, Core::Clock const& clock,
+    Core::Endpoint const& endpoint, Messages::PeerKey const& key, Distribution::ReplicaFeed& feed, std::string& error)
 {
     auto server = EventLoop::HttpServer::create(loop, endpoint, error);
     if (!server)
         return nullptr;
-    return std::unique_ptr<PeerServer> { new PeerServer { std::move(server), key, feed } };
+    return std::unique_ptr<PeerServer> { new PeerServer { std::move(server), clock, key, feed } };
 }
 
-PeerServer::PeerServer(
-    std::unique_ptr<EventLoop::HttpServer> server, Messages::PeerKey const& key, Distribution::ReplicaFeed& feed)
-    : m_server(std::move(server))
+PeerServer::PeerServer(std::unique_ptr<EventLoop::HttpServer> server, Core::Clock const& clock,
+    Messages::PeerKey const& key, Distribution::ReplicaFeed& feed)
+    : m_clock(clock)
+    , m_server(std::move(server))
     , m_key(key)
     , m_feed(feed)
 {
-    m_server->addDeferredRoute("/changes", [this](auto const& query, auto const& reply) { answer(query, reply); });
+    m_server->addDeferredRoute("/changes", [this](auto const& request, auto const& reply) { answer(request, reply); });
+}
+
+std::vector<Core::Endpoint> PeerServer::followers() const
+{
+    std::vector<Core::Endpoint> result;
+    for (auto const& [follower, askedAt] : m_followers) {
+        if (m_clock.now() - askedAt < FollowerTimeout)
+            result.push_back(follower);
+    }
+    return result;
+}
+
+void PeerServer::sweep()
+{
+    absl::erase_if(m_followers, [this](auto const& entry) { return m_clock.now() - entry.second >= FollowerTimeout; });
 }
 
-void PeerServer::answer(std::string const& query, EventLoop::HttpServer::Reply const& reply)
+void PeerServer::answer(EventLoop::HttpRequest const& request, EventLoop::HttpServer::Reply const& reply)
 {
     unsigned long long after = 0;
     long long wait = 0;
-    if (std::sscanf(query.c_str(), "after=%llu&wait_ms=%lld", &after, &wait) != 2 || wait < 0) {
-        reply({ .status = 400, .body = "after and wait_ms are needed" });
+    unsigned short port = 0;
+    auto found = std::sscanf(request.query.c_str(), "after=%llu&wait_ms=%lld&port=%hu", &after, &wait, &port);
+    if (found != 3 || wait < 0) {
+        reply({ .status = 400, .body = "after, wait_ms and port are needed" });
         return;
     }
+    m_followers.insert_or_assign(Core::Endpoint { request.client, port }, m_clock.now());
     auto bounded = std::min(std::chrono::milliseconds { wait }, MaxWait);
     m_feed.request(Core::Revision { after }, bounded, [this, reply](auto const& batch) {
         if (batch)
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -56,8 +56,13 @@
 {
     std::unique_ptr<Subscription> subscription { new Subscription { loop, clock, options, std::move(hooks) } };
     subscription->m_server
-        = PeerServer::create(loop, options.address, options.keys.sealing, subscription->m_feed, error);
-    return subscription->m_server ? std::move(subscription) : nullptr;
+        = PeerServer::create(loop, clock, options.address, options.keys.sealing, subscription->m_feed, error);
+    if (!subscription->m_server)
+        return nullptr;
+    PeerMessengerOptions messengerOptions { options.address, options.self, options.incarnation, options.keys };
+    auto receive = [self = subscription.get()](auto const& message) { self->receive(message); };
+    subscription->m_messenger = PeerMessenger::create(loop, messengerOptions, receive, error);
+    return subscription->m_messenger ? std::move(subscription) : nullptr;
 }
 
 Subscription::Subscription(
@@ -66,9 +71,51 @@
     , m_replica([this](Distribution::Item const& item) { m_hooks.itemChanged(item); })
     , m_follower(clock, followerOptions(options), m_replica, followerHooks())
     , m_feed(clock, m_replica, [this] { return relayableAge(); })
-    , m_reader(loop, options.keys)
+    , m_reader(loop, options.keys, options.address.port)
+    , m_relays(options.seeds)
+    , m_exchange(clock, {}, exchangeHooks())
     , m_timer(loop.timer([this] { sendNext(); }))
 {
+    std::erase(m_relays, options.address);
+}
+
+static Messages::PeerMessage messageOf(std::vector<Core::UpstreamId> const& upstreams)
+{
+    Messages::UpstreamSuspicions suspicions;
+    for (auto upstream : upstreams)
+        suspicions.upstreams.push_back(static_cast<std::int64_t>(upstream.value()));
+    Messages::LoadMessage load;
+    load.__set_upstreamSuspicions(suspicions);
+    Messages::PeerMessage message;
+    message.__set_load(load);
+    return message;
+}
+
+SuspicionExchangeHooks Subscription::exchangeHooks()
+{
+    return {
+        .sendToRelays = [this](auto const& upstreams) { m_messenger->send(m_relays, messageOf(upstreams)); },
+        .sendToFollowers
+        = [this](auto const& upstreams) { m_messenger->send(m_server->followers(), messageOf(upstreams)); },
+        .reported = [this](auto upstream) { m_hooks.upstreamReported(upstream); },
+    };
+}
+
+void Subscription::receive(Messages::PeerMessage const& message)
+{
+    if (!message.__isset.load || !message.load.__isset.upstreamSuspicions)
+        return;
+    std::vector<Core::UpstreamId> upstreams;
+    for (auto upstream : message.load.upstreamSuspicions.upstreams)
+        upstreams.emplace_back(static_cast<std::uint64_t>(upstream));
+    m_exchange.receive(upstreams);
+}
+
+void Subscription::tick()
+{
+    m_feed.tick();
+    m_exchange.tick();
+    m_server->sweep();
 }
 
 std::optional<milliseconds> Subscription::relayableAge() const
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -3,8 +3,10 @@
 #include <LibDistribution/Distribution.h>
 #include <LibEventLoop/EventLoop.h>
 #include <LibMessages/Messages.h>
+#include <LibRelay/PeerMessenger.h>
 #include <LibRelay/PeerReader.h>
 #include <LibRelay/PeerServer.h>
+#include <LibRelay/SuspicionExchange.h>
 
 #include <chrono>
 #include <cstdint>
@@ -17,8 +19,11 @@
 namespace Chicorytally::Relay {
 
 struct SubscriptionOptions {
-    /// Where this balancer serves its copy to others.
+    /// Where this balancer serves its copy to others over TCP, and receives their reports over UDP.
     Core::Endpoint address;
+    Core::VmId self;
+    /// Greater after each restart of the process.
+    Core::Incarnation incarnation;
     /// Balancers that may relay, as far as the settings name them; this one may be among them.
     std::vector<Core::Endpoint> seeds;
     Messages::KeyRing keys;
@@ -31,6 +36,8 @@
     std::function<void(Distribution::Item const&)> itemChanged;
     /// After each answer or failure of a source.
     std::function<void()> updated;
+    /// Another balancer got no answer from the upstream.
+    std::function<void(Core::UpstreamId)> upstreamReported;
 };
 
 struct SubscriptionCounters {
@@ -53,15 +60,20 @@
 
     void start() { sendNext(); }
     /// To be called every 50 ms.
-    void tick() { m_feed.tick(); }
+    void tick();
+    /// Tells other balancers that an upstream doesn't answer.
+    void reportUnanswered(Core::UpstreamId upstream) { m_exchange.report(upstream); }
     /// Whether the copy holds all that the store holds, as far as can be known now.
     bool isComplete() const { return m_follower.isFresh(); }
     std::optional<std::chrono::milliseconds> age() const { return m_follower.age(); }
     SubscriptionCounters const& counters() const { return m_counters; }
+    PeerMessengerCounters const& messageCounters() const { return m_messenger->counters(); }
 
 private:
     Subscription(EventLoop::Loop&, Core::Clock const&, SubscriptionOptions const&, SubscriptionHooks);
 
+    SuspicionExchangeHooks exchangeHooks();
+    void receive(Messages::PeerMessage const&);
     void sendNext();
     void finish(bool isPeer, std::optional<Distribution::StoreAnswer> const&, Distribution::StoreFailure,
         std::string const& cause);
@@ -74,6 +86,10 @@
     Distribution::ReplicaFeed m_feed;
     PeerReader m_reader;
     std::unique_ptr<PeerServer> m_server;
+    std::unique_ptr<PeerMessenger> m_messenger;
+    /// Balancers that pass reports on to their followers.
+    std::vector<Core::Endpoint> m_relays;
+    SuspicionExchange m_exchange;
     std::unique_ptr<EventLoop::Subscription> m_timer;
 };
 
--- a/Services/chicorytallyd/Daemon.cpp
+++ b/Services/chicorytallyd/Daemon.cpp
@@ -13,14 +13,6 @@
 // The list is a hint that lags anyway. At 2,100 balancers this is 70 of the 2,000 reads per second that all may make.
 static constexpr std::chrono::seconds VmListInterval { 30 };
 
-// The start time orders the processes of a VM: VMs keep nothing from which a counter could go on.
-static Core::Incarnation startIncarnation()
-{
-    auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return Core::Incarnation { static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()) };
-}
-
 static Load::LoadOptions loadOptions(Settings const& settings, Core::Incarnation incarnation)
 {
     return {
@@ -82,7 +74,7 @@
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
     , m_self(Model::vmId(m_settings.vmName))
-    , m_incarnation(startIncarnation())
+    , m_incarnation(Messages::startIncarnation())
     , m_load(m_clock, loadOptions(m_settings, m_incarnation))
     , m_engine(m_clock, engineOptions(m_settings, m_incarnation), engineHooks())
     , m_configuration([this](auto const& configuration) {
--- a/Tests/LibBalancer/SiteModel.cpp
+++ b/Tests/LibBalancer/SiteModel.cpp
@@ -111,6 +111,18 @@
     return entry;
 }
 
+void SiteModel::spreadReport(Node const& sender, Core::UpstreamId id)
+{
+    for (auto& node : m_nodes) {
+        if (node.get() == &sender || !node->isUp || !isConnected(sender.zone, node->zone))
+            continue;
+        schedule(LinkDelay, [&node, id, life = node->life] {
+            if (node->isUp && node->life == life)
+                node->balancer->noteReported(id);
+        });
+    }
+}
+
 void SiteModel::startBalancer(std::size_t index)
 {
     auto& node = *m_nodes[index];
@@ -127,6 +139,7 @@
                         node.balancer->probeEnded(id, probe(node.zone, *indexOf(id)));
                 });
             },
+        .reportUnanswered = [this, &node](Core::UpstreamId id) { spreadReport(node, id); },
         .sendReset =
             [this, &node](Core::FlowKey const& flow, auto) {
                 auto caller = flow.source.address.v4Bytes()[3];
@@ -139,6 +152,7 @@
     node.balancer = std::make_unique<Balancer::TokenBalancer>(m_clock, options, std::move(hooks), *node.metrics);
     Directory::RouteTable table;
     table.version = 1;
+    table.services.emplace(Service, Directory::ServiceLimits {});
     table.routes.emplace(ServiceAddress, Directory::Route { "r", ServiceAddress, { { Service, 1 } } });
     node.balancer->applyRoutes(table);
     for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
@@ -152,7 +166,6 @@
     tickBalancer(index, node.life);
 }
 
-    table.services.emplace(Service, Directory::ServiceLimits {});
 void SiteModel::tickBalancer(std::size_t index, std::uint64_t life)
 {
     auto& node = *m_nodes[index];
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -21,9 +21,11 @@
     Core::ManualClock clock;
     Telemetry::Metrics metrics;
     std::vector<std::uint64_t> probed;
+    std::vector<std::uint64_t> reports;
     std::vector<Core::FlowKey> resets;
     Balancer::TokenBalancer balancer { clock, { .zone = Here, .randomSeed = 1 },
         { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
+            .reportUnanswered = [this](auto id) { reports.push_back(id.value()); },
             .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); },
             .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; } },
         metrics };
@@ -32,9 +34,9 @@
     {
         Directory::RouteTable table;
         table.version = 1;
+        table.services.emplace(Register, Directory::ServiceLimits {});
         table.routes.emplace(Address, Directory::Route { "r", Address, { { Register, 1 } } });
         balancer.applyRoutes(table);
-        table.services.emplace(Register, Directory::ServiceLimits {});
         add(1, Here);
         add(2, Here);
         add(3, There);
@@ -106,6 +108,37 @@
 
 BOOST_FIXTURE_TEST_SUITE(TokenBalancer, Fixture)
 
+BOOST_AUTO_TEST_CASE(ReportedUpstreamLosesItsIdleFlowsBeforeARequestDoes)
+{
+    // Guards against a request that each balancer loses on an upstream of which another one knows that it is dark.
+    auto upstream = request(1);
+    auto answer = packet(PacketKind::Data, 1);
+    answer.token = Directory::routingToken(Core::UpstreamId { upstream });
+    answer.sequence = 101;
+    answer.acknowledgement = 500;
+    balancer.decide(answer);
+    tickFor(1s);
+    BOOST_TEST(probed.empty());
+    balancer.noteReported(Core::UpstreamId { upstream });
+    BOOST_REQUIRE(probed.size() == 1U);
+    BOOST_TEST(resets.empty());
+    answerProbes(Load::LivenessProbe::NoAnswer);
+    answerProbes(Load::LivenessProbe::NoAnswer);
+    BOOST_TEST(resets.size() == 1U);
+    BOOST_TEST(reports.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReportOfALivingUpstreamChangesNothing)
+{
+    // Guards against a balancer behind a cut link that takes upstreams from all others.
+    auto upstream = request(1);
+    balancer.noteReported(Core::UpstreamId { upstream });
+    answerProbes(Load::LivenessProbe::Answered);
+    BOOST_TEST(resets.empty());
+    balancer.noteReported(Core::UpstreamId { upstream });
+    BOOST_TEST(probed.empty());
+}
+
 BOOST_AUTO_TEST_CASE(DarkUpstreamLosesItsFlowsWithinHalfASecond)
 {
     // Guards against callers that wait out their time for an upstream that went dark, paused flows included.
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -17,10 +17,12 @@
 struct Fixture {
     Core::ManualClock clock;
     unsigned probes { 0 };
+    unsigned unanswered { 0 };
     unsigned lost { 0 };
     unsigned regained { 0 };
     Load::UpstreamLiveness liveness { clock, {},
         { .startProbe = [this](auto) { ++probes; },
+            .unanswered = [this](auto) { ++unanswered; },
             .lost = [this](auto, auto, auto) { ++lost; },
             .regained = [this](auto) { ++regained; } } };
 
@@ -117,6 +119,25 @@
     BOOST_TEST(probes == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(OwnFindingIsReportedOnce)
+{
+    // Guards against upstreams of which other balancers learn only by losing a request, and against reports of reports.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbe::NoAnswer);
+    BOOST_TEST(unanswered == 1U);
+    BOOST_TEST(lost == 0U);
+    liveness.probeEnded(Upstream, LivenessProbe::NoAnswer);
+    BOOST_TEST(unanswered == 1U);
+    BOOST_TEST(lost == 1U);
+
+    Core::UpstreamId const Other { 2 };
+    liveness.suspect(Other, Suspicion::Reported, clock.now());
+    liveness.probeEnded(Other, LivenessProbe::NoAnswer);
+    liveness.probeEnded(Other, LivenessProbe::NoAnswer);
+    BOOST_TEST(unanswered == 1U);
+    BOOST_TEST(lost == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(TrafficRevivesAnUpstream)
 {
     // Guards against resets of flows that get answers.
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -67,6 +67,8 @@
     {
         std::string error;
         Relay::SubscriptionOptions options { .address = address, .seeds = std::move(seeds) };
+        options.self = Core::VmId { address.port };
+        options.incarnation = Core::Incarnation { 1 };
         options.keys.sealing = *Messages::PeerKey::fromHex(std::string(64, 'a'));
         subscription = Relay::Subscription::create(loop, clock, options,
             { .callStore = [&store](auto const& request, auto callback) { store.call(request, std::move(callback)); },
@@ -75,13 +77,19 @@
                         ++items;
                         loop.stop();
                     },
-                .updated = [] {} },
+                .updated = [] {},
+                .upstreamReported =
+                    [this, &loop](auto upstream) {
+                        reported.push_back(upstream);
+                        loop.stop();
+                    } },
             error);
         BOOST_REQUIRE_MESSAGE(subscription, error);
     }
 
     std::unique_ptr<Relay::Subscription> subscription;
     unsigned items { 0 };
+    std::vector<Core::UpstreamId> reported;
 };
 
 }
@@ -126,6 +134,30 @@
     BOOST_TEST(followerStore.calls == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ReportReachesTheFollowersOfTheSeed)
+{
+    // Guards against balancers that don't know each other and share nothing.
+    std::string error;
+    auto loop = EventLoop::Loop::create(error);
+    Core::SystemClock clock;
+    FakeStore stores[3];
+    auto address = freePort();
+    Node reader { *loop, clock, stores[0], address, { address } };
+    Node finder { *loop, clock, stores[1], freePort(), { address } };
+    Node other { *loop, clock, stores[2], freePort(), { address } };
+    for (auto* node : { &reader, &finder, &other })
+        node->subscription->start();
+    // The seed knows a follower once that has asked for changes.
+    auto report = loop->timer([&] { finder.subscription->reportUnanswered(Core::UpstreamId { 7 }); });
+    report->arm(200ms);
+    while (other.reported.empty())
+        loop->run();
+    std::vector const expected { Core::UpstreamId { 7 } };
+    BOOST_CHECK(reader.reported == expected);
+    BOOST_CHECK(other.reported == expected);
+    BOOST_TEST(finder.reported.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RefusedReaderSendsItsFollowersToTheStore)
 {
     // Guards against a fleet that is blind because one balancer lost the store.
