LibLoad, LibBalancer: Find a zone that is out of reach from a few of its upstreams

After the cut healed, flows were reset for up to 2 s more, until the retry of each upstream was due.

Two upstreams of a zone that give no answer to a probe now have six others probed; eight in vain make the zone lost for new flows and readiness, while flows are given up per upstream as before. One answer takes it back and has the upstreams that were given up probed at once.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -25,7 +25,8 @@
     , m_log(clock)
     , m_directory(clock, options.directory, directoryHooks())
     , m_liveness(clock, options.liveness, livenessHooks())
-    , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness)
+    , m_zones({}, zoneHooks())
+    , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness, m_zones)
     , m_flows(clock, options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_lastTick(clock.now())
@@ -85,6 +86,33 @@
     };
 }
 
+Load::ZoneReachabilityHooks TokenBalancer::zoneHooks()
+{
+    return {
+        .upstreamCount = [this](Core::ZoneId zone) { return m_directory.upstreamsIn(zone).size(); },
+        .check =
+            [this](Core::ZoneId zone, std::size_t count) {
+                for (auto const* record : m_directory.upstreamsIn(zone)) {
+                    auto id = record->entry.upstream.id;
+                    if (count == 0 || m_liveness.of(id) != Liveness::Alive)
+                        continue;
+                    m_liveness.suspect(id, Load::Suspicion::ZoneSilent, m_clock.now());
+                    --count;
+                }
+            },
+        .lost =
+            [](Core::ZoneId zone) {
+                logEvent(Level::Warn, "zone_lost", { { "zone", zone.value() } });
+            },
+        .regained =
+            [this](Core::ZoneId zone) {
+                logEvent(Level::Info, "zone_regained", { { "zone", zone.value() } });
+                for (auto const* record : m_directory.upstreamsIn(zone))
+                    m_liveness.retry(record->entry.upstream.id);
+            },
+    };
+}
+
 Placement::TokenFlowHooks TokenBalancer::flowHooks()
 {
     return {
@@ -103,7 +131,11 @@
         .choose
         = [this](Core::ServiceId service, Core::UpstreamId excluded) { return m_choice.choose(service, excluded); },
         .isLost = [this](Core::UpstreamId id) { return m_liveness.of(id) == Liveness::Unreachable; },
-        .progressed = [this](Core::UpstreamId id) { m_liveness.noteProgress(id); },
+        .progressed =
+            [this](Core::UpstreamId id) {
+                m_liveness.noteProgress(id);
+                noteAnswerFrom(id);
+            },
         .openUnanswered
         = [this](Core::UpstreamId id,
               Core::TimePoint since) { m_liveness.suspect(id, Load::Suspicion::UnansweredOpen, since); },
@@ -212,9 +244,28 @@
 void TokenBalancer::probeEnded(Core::UpstreamId id, Load::LivenessProbe result)
 {
     logEvent(Level::Info, "upstream_probed", { { "upstream", nameOf(id) }, { "result", toString(result) } });
+    noteProbeOfZone(id, result);
     m_liveness.probeEnded(id, result);
 }
 
+void TokenBalancer::noteAnswerFrom(Core::UpstreamId id)
+{
+    if (auto const* record = m_directory.find(id))
+        m_zones.noteAnswer(record->entry.upstream.zone);
+}
+
+void TokenBalancer::noteProbeOfZone(Core::UpstreamId id, Load::LivenessProbe result)
+{
+    auto const* record = m_directory.find(id);
+    if (!record || result == Load::LivenessProbe::NotMade)
+        return;
+    auto zone = record->entry.upstream.zone;
+    if (result == Load::LivenessProbe::NoAnswer)
+        m_zones.noteSilent(zone, id);
+    else
+        m_zones.noteAnswer(zone);
+}
+
 void TokenBalancer::noteReported(Core::UpstreamId id)
 {
     if (!m_directory.find(id))
@@ -261,7 +312,9 @@
 {
     // Callers of a zone that is cut off from every upstream that may get flows are better served by other zones.
     return m_directory.version() != 0 && m_directory.any([this](auto const& record) {
-        return m_directory.isOpenable(record) && m_liveness.of(record.entry.upstream.id) != Liveness::Unreachable;
+        auto const& upstream = record.entry.upstream;
+        return m_directory.isOpenable(record) && m_zones.isReachable(upstream.zone)
+            && m_liveness.of(upstream.id) != Liveness::Unreachable;
     });
 }
 
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -93,6 +93,7 @@
 private:
     Directory::DirectoryHooks directoryHooks();
     Load::LivenessHooks livenessHooks();
+    Load::ZoneReachabilityHooks zoneHooks();
     Placement::TokenFlowHooks flowHooks();
     Placement::TokenPlacerHooks placerHooks();
     void noteAnswer(Core::FlowKey const&, Placement::TokenFlow const&, std::chrono::nanoseconds);
@@ -100,6 +101,8 @@
     void noteUnlisted(Directory::UpstreamRecord const&);
     void giveUpFlows(Core::UpstreamId, std::string_view cause);
     bool notePause();
+    void noteAnswerFrom(Core::UpstreamId);
+    void noteProbeOfZone(Core::UpstreamId, Load::LivenessProbe);
 
     Core::Clock const& m_clock;
     TokenBalancerOptions m_options;
@@ -110,6 +113,7 @@
     Directory::UpstreamDirectory m_directory;
     Load::LocalLoad m_load;
     Load::UpstreamLiveness m_liveness;
+    Load::ZoneReachability m_zones;
     Load::LocalChoice m_choice;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -182,6 +182,16 @@
     return std::ranges::any_of(m_records, [&](auto const& entry) { return predicate(*entry.second); });
 }
 
+std::vector<UpstreamRecord const*> UpstreamDirectory::upstreamsIn(Core::ZoneId zone) const
+{
+    std::vector<UpstreamRecord const*> result;
+    for (auto const& [id, record] : m_records) {
+        if (record->isListed && record->entry.upstream.zone == zone)
+            result.push_back(record.get());
+    }
+    return result;
+}
+
 bool UpstreamDirectory::isCold(UpstreamRecord const& record) const
 {
     return m_clock.now() < record.coldUntil || isHeldAfterReturn(record.entry.upstream.zone);
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -88,6 +88,8 @@
     std::size_t upstreamCount() const { return m_records.size(); }
     /// Whether the predicate holds for any record.
     bool any(std::function<bool(UpstreamRecord const&)> const& predicate) const;
+    /// The listed upstreams of the zone.
+    std::vector<UpstreamRecord const*> upstreamsIn(Core::ZoneId) const;
 
     bool isCold(UpstreamRecord const&) const;
     /// May get new flows by what the discovery service and the operators say.
--- a/Libraries/LibLoad/Load.h
+++ b/Libraries/LibLoad/Load.h
@@ -8,3 +8,4 @@
 #include <LibLoad/LocalChoice.h>
 #include <LibLoad/LocalLoad.h>
 #include <LibLoad/UpstreamLiveness.h>
+#include <LibLoad/ZoneReachability.h>
--- a/Libraries/LibLoad/LocalChoice.cpp
+++ b/Libraries/LibLoad/LocalChoice.cpp
@@ -6,11 +6,12 @@
 namespace Chicorytally::Load {
 
 LocalChoice::LocalChoice(LocalChoiceOptions options, Directory::UpstreamDirectory const& directory,
-    LocalLoad const& load, UpstreamLiveness const& liveness)
+    LocalLoad const& load, UpstreamLiveness const& liveness, ZoneReachability const& zones)
     : m_options(options)
     , m_directory(directory)
     , m_load(load)
     , m_liveness(liveness)
+    , m_zones(zones)
     , m_random(options.randomSeed)
 {
 }
@@ -41,7 +42,7 @@
     for (auto const* record : m_directory.upstreamsOf(service)) {
         auto const& upstream = record->entry.upstream;
         if (upstream.id == excluded || !m_directory.isOpenable(*record) || m_directory.isCold(*record)
-            || m_liveness.of(upstream.id) > worst)
+            || livenessOf(upstream) > worst)
             continue;
         auto next = candidate(*record);
         bool isLocal = upstream.zone == m_options.zone;
@@ -55,6 +56,11 @@
     return local.record && byRequests(local, remote) ? local.record : remote.record;
 }
 
+Liveness LocalChoice::livenessOf(Model::Upstream const& upstream) const
+{
+    return m_zones.isReachable(upstream.zone) ? m_liveness.of(upstream.id) : Liveness::Unreachable;
+}
+
 LocalChoice::Candidate LocalChoice::candidate(Directory::UpstreamRecord const& record)
 {
     auto const& upstream = record.entry.upstream;
--- a/Libraries/LibLoad/LocalChoice.h
+++ b/Libraries/LibLoad/LocalChoice.h
@@ -4,6 +4,7 @@
 #include <LibDirectory/Directory.h>
 #include <LibLoad/LocalLoad.h>
 #include <LibLoad/UpstreamLiveness.h>
+#include <LibLoad/ZoneReachability.h>
 
 #include <cstdint>
 #include <random>
@@ -23,7 +24,8 @@
 /// while that has room. Not thread-safe.
 class LocalChoice {
 public:
-    LocalChoice(LocalChoiceOptions, Directory::UpstreamDirectory const&, LocalLoad const&, UpstreamLiveness const&);
+    LocalChoice(LocalChoiceOptions, Directory::UpstreamDirectory const&, LocalLoad const&, UpstreamLiveness const&,
+        ZoneReachability const&);
 
     /// Nothing when no upstream of the service may get a new flow. The excluded upstream is chosen only if there is no
     /// other.
@@ -38,12 +40,14 @@
     };
 
     Candidate candidate(Directory::UpstreamRecord const&);
+    Liveness livenessOf(Model::Upstream const&) const;
     Directory::UpstreamRecord const* chooseAmong(Core::ServiceId, Core::UpstreamId excluded, Liveness worst);
 
     LocalChoiceOptions m_options;
     Directory::UpstreamDirectory const& m_directory;
     LocalLoad const& m_load;
     UpstreamLiveness const& m_liveness;
+    ZoneReachability const& m_zones;
     std::mt19937_64 m_random;
 };
 
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -44,6 +44,8 @@
         return "unlisted";
     case Suspicion::Reported:
         return "reported";
+    case Suspicion::ZoneSilent:
+        return "zone_silent";
     }
     return "unknown";
 }
@@ -116,7 +118,7 @@
     if (state.liveness == Liveness::Alive)
         return;
     ++state.unansweredProbes;
-    bool isOwnFinding = state.suspicion != Suspicion::Unlisted && state.suspicion != Suspicion::Reported;
+    bool isOwnFinding = state.suspicion == Suspicion::SilentRequests || state.suspicion == Suspicion::UnansweredOpen;
     if (state.unansweredProbes == 1 && isOwnFinding && m_hooks.unanswered)
         m_hooks.unanswered(upstream);
     if (result == LivenessProbe::Refused || state.unansweredProbes >= m_options.probesToConfirm)
@@ -153,6 +155,13 @@
         becomeAlive(upstream, position->second);
 }
 
+void UpstreamLiveness::retry(Core::UpstreamId upstream)
+{
+    auto state = m_states.find(upstream);
+    if (state != m_states.end() && state->second.isListed && state->second.liveness == Liveness::Unreachable)
+        startProbe(upstream, state->second);
+}
+
 void UpstreamLiveness::tick()
 {
     for (auto& [upstream, state] : m_states) {
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -44,6 +44,8 @@
     Unlisted,
     /// Another balancer got no answer from it.
     Reported,
+    /// Other upstreams of its zone don't answer.
+    ZoneSilent,
 };
 
 std::string_view toString(Suspicion);
@@ -86,6 +88,8 @@
     /// Discovery lists the upstream again, or its process was restarted: earlier evidence is void.
     void reset(Core::UpstreamId);
     void forget(Core::UpstreamId upstream) { m_states.erase(upstream); }
+    /// Probes the upstream at once if it is unreachable: something near it answered.
+    void retry(Core::UpstreamId);
     /// Starts the probes that are due.
     void tick();
 
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -128,6 +128,32 @@
     BOOST_TEST(reports.empty());
 }
 
+BOOST_AUTO_TEST_CASE(BalancerThatIsCutOffFindsOutFromAFewUpstreams)
+{
+    // Guards against a zone whose callers are not served until opens were lost on each of hundreds of upstreams.
+    Core::ZoneId const Elsewhere { 3 };
+    for (std::uint64_t id = 10; id < 60; ++id)
+        add(id, id % 2 == 0 ? There : Elsewhere);
+    balancer.setZoneOut(Here, true);
+    BOOST_TEST(balancer.canServe());
+    auto cutOff = clock.now();
+    for (std::uint16_t port = 1; balancer.canServe() && clock.now() - cutOff < 10s; ++port) {
+        request(port);
+        tickFor(50ms);
+        // Probes take 150 ms, and start at most three times as often here.
+        if (port % 3 == 0)
+            answerProbes(Load::LivenessProbe::NoAnswer);
+    }
+    BOOST_TEST(std::chrono::duration<double>(clock.now() - cutOff).count() < 1.5);
+
+    // One answer brings the zone back, and with it the eight upstreams that were given up.
+    while (!probed.empty())
+        answerProbes(Load::LivenessProbe::NoAnswer);
+    balancer.probeEnded(Core::UpstreamId { 11 }, Load::LivenessProbe::Answered);
+    BOOST_TEST(balancer.canServe());
+    BOOST_TEST(probed.size() >= 7U);
+}
+
 BOOST_AUTO_TEST_CASE(ReportOfALivingUpstreamChangesNothing)
 {
     // Guards against a balancer behind a cut link that takes upstreams from all others.
--- a/Tests/LibLoad/TestLocalChoice.cpp
+++ b/Tests/LibLoad/TestLocalChoice.cpp
@@ -19,7 +19,12 @@
     Load::LocalLoad load;
     Load::UpstreamLiveness liveness { clock, {},
         { .startProbe = [](auto) {}, .lost = [](auto, auto, auto) {}, .regained = [](auto) {} } };
-    Load::LocalChoice choice { { .zone = Here, .randomSeed = 1 }, directory, load, liveness };
+    Load::ZoneReachability zones { {},
+        { .upstreamCount = [this](auto zone) { return directory.upstreamsIn(zone).size(); },
+            .check = [](auto, auto) {},
+            .lost = [](auto) {},
+            .regained = [](auto) {} } };
+    Load::LocalChoice choice { { .zone = Here, .randomSeed = 1 }, directory, load, liveness, zones };
 
     void add(std::uint64_t id, Core::ZoneId zone, std::chrono::milliseconds coldFor = 0ms)
     {
@@ -103,4 +108,20 @@
     BOOST_TEST(choose(1) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(LostZoneComesLast)
+{
+    // Guards against opens that are lost on each upstream of a zone that is out of reach.
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        add(id, There);
+    Core::ZoneId const Elsewhere { 3 };
+    add(21, Elsewhere);
+    for (int i = 0; i < 100; ++i)
+        load.requestStarted(Core::UpstreamId { 21 });
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        zones.noteSilent(There, Core::UpstreamId { id });
+    BOOST_TEST(choose() == 21U);
+    zones.noteAnswer(There);
+    BOOST_TEST(choose() != 21U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
