--- a/Libraries/LibBalancer/FlowLog.cpp
+++ b/Libraries/LibBalancer/FlowLog.cpp
@@ -92,6 +92,15 @@
             { "ms", duration.count() } });
 }
 
+void FlowLog::answeredShort(
+    Core::FlowKey const& flow, std::uint64_t request, std::string_view upstream, std::uint32_t bytes)
+{
+    if (!m_limiter.admit("answer_short"))
+        return;
+    logEvent(Level::Info, "answer_short",
+        { { "flow", nameOf(flow) }, { "request", nameOf(request) }, { "upstream", upstream }, { "bytes", bytes } });
+}
+
 void FlowLog::report()
 {
     m_limiter.report([](std::string_view event, std::uint64_t count) {
--- a/Libraries/LibBalancer/FlowLog.h
+++ b/Libraries/LibBalancer/FlowLog.h
@@ -36,6 +36,8 @@
     void answeredLate(
         Core::FlowKey const&, std::uint64_t request, std::string_view upstream, std::chrono::milliseconds);
     /// Tells what was left out; to be called often.
+    /// An answer was so short that it is probably an error.
+    void answeredShort(Core::FlowKey const&, std::uint64_t request, std::string_view upstream, std::uint32_t bytes);
     void report();
 
 private:
--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -26,7 +26,12 @@
     , m_directory(clock, options.directory, directoryHooks())
     , m_liveness(clock, options.liveness, livenessHooks())
     , m_zones({}, zoneHooks())
-    , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness, m_zones)
+    , m_failures(clock, { .self = options.self },
+          [this](Core::UpstreamId id) {
+              logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
+          })
+    , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
+          m_failures)
     , m_flows(clock, options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_lastTick(clock.now())
@@ -70,9 +75,10 @@
             },
         .unanswered =
             [this](Core::UpstreamId id) {
-                if (m_hooks.reportUnanswered)
-                    m_hooks.reportUnanswered(id);
+                if (m_hooks.report)
+                    m_hooks.report(id, Load::ReportKind::Unanswered);
             },
+        .stalled = [this](Core::UpstreamId id) { noteFailure(id, "stalled"); },
         .lost =
             [this](Core::UpstreamId id, Load::Suspicion suspicion, Load::LivenessProbe probe) {
                 logEvent(Level::Warn, "upstream_lost",
@@ -120,7 +126,7 @@
         .closed = [this](Core::UpstreamId id) { m_load.flowClosed(id); },
         .requestStarted = [this](Core::UpstreamId id) { m_load.requestStarted(id); },
         .requestAnswered
-        = [this](auto const& key, auto const& flow, auto duration) { noteAnswer(key, flow, duration); },
+        = [this](auto const& key, auto const& flow, auto const& answer) { noteAnswer(key, flow, answer); },
         .requestDropped = [this](Core::UpstreamId id) { m_load.requestEnded(id); },
     };
 }
@@ -143,13 +149,26 @@
 }
 
 void TokenBalancer::noteAnswer(
-    Core::FlowKey const& key, Placement::TokenFlow const& flow, std::chrono::nanoseconds duration)
+    Core::FlowKey const& key, Placement::TokenFlow const& flow, Placement::TokenAnswer const& answer)
 {
     m_load.requestEnded(flow.upstream);
-    m_answerTimes.record(std::chrono::duration<double>(duration).count());
-    if (duration > m_options.lateLimit)
+    m_answerTimes.record(std::chrono::duration<double>(answer.duration).count());
+    if (answer.duration > m_options.lateLimit)
         m_log.answeredLate(key, flow.requestId, nameOf(flow.upstream),
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration));
+            std::chrono::duration_cast<std::chrono::milliseconds>(answer.duration));
+    if (!m_answerSizes.note(key.destination, answer.bytes))
+        return;
+    m_log.answeredShort(key, flow.requestId, nameOf(flow.upstream), answer.bytes);
+    noteFailure(flow.upstream, "short_answer");
+}
+
+void TokenBalancer::noteFailure(Core::UpstreamId id, std::string_view sign)
+{
+    ++m_counters.failures;
+    logEvent(Level::Debug, "upstream_failure", { { "upstream", nameOf(id) }, { "sign", sign } });
+    m_failures.noteOwn(id);
+    if (m_hooks.report)
+        m_hooks.report(id, Load::ReportKind::Failing);
 }
 
 std::string TokenBalancer::nameOf(Core::UpstreamId id) const
@@ -266,12 +285,21 @@
         m_zones.noteAnswer(zone);
 }
 
-void TokenBalancer::noteReported(Core::UpstreamId id)
+void TokenBalancer::noteReport(Load::PeerReport const& report)
 {
+    auto id = report.upstream;
     if (!m_directory.find(id))
         return;
-    logEvent(Level::Info, "upstream_reported", { { "upstream", nameOf(id) } });
-    m_liveness.suspect(id, Load::Suspicion::Reported, m_clock.now() - m_options.reportLimit);
+    switch (report.kind) {
+    case Load::ReportKind::Unanswered:
+        logEvent(
+            Level::Info, "upstream_reported", { { "upstream", nameOf(id) }, { "reporter", report.reporter.value() } });
+        m_liveness.suspect(id, Load::Suspicion::Reported, m_clock.now() - m_options.reportLimit);
+        return;
+    case Load::ReportKind::Failing:
+        m_failures.noteReport(id, report.reporter);
+        return;
+    }
 }
 
 bool TokenBalancer::notePause()
@@ -306,6 +334,7 @@
     m_flows.expire(m_directory.idleTimeout());
     m_directory.sweep();
     m_placer.sweep();
+    m_failures.sweep();
 }
 
 bool TokenBalancer::canServe() const
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -18,6 +18,8 @@
 namespace Chicorytally::Balancer {
 
 struct TokenBalancerOptions {
+    /// The balancer in reports to others.
+    Core::VmId self;
     /// Zone of this balancer.
     Core::ZoneId zone;
     std::uint64_t randomSeed { 0 };
@@ -40,8 +42,8 @@
 struct TokenBalancerHooks {
     /// Starts a probe of the upstream; its result goes to probeEnded().
     std::function<void(Core::UpstreamId, Core::Endpoint const&)> startProbe;
-    /// Tells other balancers of an upstream that answers neither this balancer's traffic nor its probe.
-    std::function<void(Core::UpstreamId)> reportUnanswered;
+    /// Tells other balancers what this one found out about an upstream.
+    std::function<void(Core::UpstreamId, Load::ReportKind)> report;
     /// Sends a reset to the caller, with its last acknowledgement number as sequence number.
     std::function<void(Core::FlowKey const&, std::uint32_t sequence)> sendReset;
     /// How long ago the directory was known to hold all that discovery lists; nothing before that.
@@ -54,6 +56,8 @@
     std::array<std::uint64_t, Placement::ReasonCount> reasons {};
     std::uint64_t flowsGivenUp { 0 };
     std::uint64_t probes { 0 };
+    /// Answers that were short, and upstreams that answered a probe but no request.
+    std::uint64_t failures { 0 };
     std::uint64_t pauses { 0 };
 };
 
@@ -75,8 +79,9 @@
     void setComplete(bool);
 
     void probeEnded(Core::UpstreamId, Load::LivenessProbe);
-    /// Another balancer got no answer from the upstream: it is probed from here before a request is lost on it.
-    void noteReported(Core::UpstreamId);
+    /// What another balancer found out: an upstream that didn't answer is probed from here before a request is lost on
+    /// it.
+    void noteReport(Load::PeerReport const&);
     /// To be called every 50 ms.
     void tick();
     /// Looks for upstreams that have gone silent; to be called after each batch of packets, and does little when there
@@ -89,6 +94,7 @@
     TokenBalancerCounters const& counters() const { return m_counters; }
     std::size_t flowCount() const { return m_flows.size(); }
     std::size_t unreachableCount() const { return m_liveness.unreachableCount(); }
+    std::size_t failingCount() const { return m_failures.failingCount(); }
 
 private:
     Directory::DirectoryHooks directoryHooks();
@@ -96,7 +102,8 @@
     Load::ZoneReachabilityHooks zoneHooks();
     Placement::TokenFlowHooks flowHooks();
     Placement::TokenPlacerHooks placerHooks();
-    void noteAnswer(Core::FlowKey const&, Placement::TokenFlow const&, std::chrono::nanoseconds);
+    void noteAnswer(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenAnswer const&);
+    void noteFailure(Core::UpstreamId, std::string_view sign);
     std::string nameOf(Core::UpstreamId) const;
     void noteUnlisted(Directory::UpstreamRecord const&);
     void giveUpFlows(Core::UpstreamId, std::string_view cause);
@@ -114,6 +121,8 @@
     Load::LocalLoad m_load;
     Load::UpstreamLiveness m_liveness;
     Load::ZoneReachability m_zones;
+    Load::AnswerSizes m_answerSizes { {} };
+    Load::FailureEvidence m_failures;
     Load::LocalChoice m_choice;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
--- a/Libraries/LibLoad/LocalChoice.cpp
+++ b/Libraries/LibLoad/LocalChoice.cpp
@@ -6,28 +6,34 @@
 namespace Chicorytally::Load {
 
 LocalChoice::LocalChoice(LocalChoiceOptions options, Directory::UpstreamDirectory const& directory,
-    LocalLoad const& load, UpstreamLiveness const& liveness, ZoneReachability const& zones)
+    LocalLoad const& load, UpstreamLiveness const& liveness, ZoneReachability const& zones,
+    FailureEvidence const& failures)
     : m_options(options)
     , m_directory(directory)
     , m_load(load)
     , m_liveness(liveness)
     , m_zones(zones)
+    , m_failures(failures)
     , m_random(options.randomSeed)
 {
 }
 
 Directory::UpstreamRecord const* LocalChoice::choose(Core::ServiceId service, Core::UpstreamId excluded)
 {
+    if (areFewFailing(service)) {
+        if (auto const* record = chooseAmong(service, excluded, Liveness::Alive, false))
+            return record;
+    }
     // An upstream that looks dead from here may still be better than none at all.
     for (auto worst : { Liveness::Alive, Liveness::Suspect, Liveness::Unreachable }) {
-        if (auto const* record = chooseAmong(service, excluded, worst))
+        if (auto const* record = chooseAmong(service, excluded, worst, true))
             return record;
     }
     return excluded.isValid() ? choose(service, {}) : nullptr;
 }
 
 Directory::UpstreamRecord const* LocalChoice::chooseAmong(
-    Core::ServiceId service, Core::UpstreamId excluded, Liveness worst)
+    Core::ServiceId service, Core::UpstreamId excluded, Liveness worst, bool isFailingAllowed)
 {
     auto byFlows = [](Candidate const& left, Candidate const& right) {
         return std::tie(left.flowsPerSlot, left.requestsPerSlot, left.tieBreak)
@@ -42,7 +48,7 @@
     for (auto const* record : m_directory.upstreamsOf(service)) {
         auto const& upstream = record->entry.upstream;
         if (upstream.id == excluded || !m_directory.isOpenable(*record) || m_directory.isCold(*record)
-            || livenessOf(upstream) > worst)
+            || livenessOf(upstream) > worst || (!isFailingAllowed && m_failures.isFailing(upstream.id)))
             continue;
         auto next = candidate(*record);
         bool isLocal = upstream.zone == m_options.zone;
@@ -56,6 +62,23 @@
     return local.record && byRequests(local, remote) ? local.record : remote.record;
 }
 
+// Under overload most upstreams fail requests; without half of them the others would fail more.
+bool LocalChoice::areFewFailing(Core::ServiceId service) const
+{
+    if (m_failures.isEmpty())
+        return true;
+    std::size_t openable = 0;
+    std::size_t failing = 0;
+    for (auto const* record : m_directory.upstreamsOf(service)) {
+        if (!m_directory.isOpenable(*record))
+            continue;
+        ++openable;
+        if (m_failures.isFailing(record->entry.upstream.id))
+            ++failing;
+    }
+    return 2 * failing <= openable;
+}
+
 Liveness LocalChoice::livenessOf(Model::Upstream const& upstream) const
 {
     return m_zones.isReachable(upstream.zone) ? m_liveness.of(upstream.id) : Liveness::Unreachable;
--- a/Libraries/LibLoad/LocalChoice.h
+++ b/Libraries/LibLoad/LocalChoice.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
+#include <LibLoad/FailureEvidence.h>
 #include <LibLoad/LocalLoad.h>
 #include <LibLoad/UpstreamLiveness.h>
 #include <LibLoad/ZoneReachability.h>
@@ -20,12 +21,12 @@
     std::uint64_t randomSeed { 0 };
 };
 
-/// Chooses the upstream of a new flow by what this balancer knows alone: least flows per slot first, in its own zone
-/// while that has room. Not thread-safe.
+/// Chooses the upstream of a new flow: least flows per slot first, in its own zone while that has room. Upstreams that
+/// fail requests, are suspect or out of reach come last, in this order. Not thread-safe.
 class LocalChoice {
 public:
     LocalChoice(LocalChoiceOptions, Directory::UpstreamDirectory const&, LocalLoad const&, UpstreamLiveness const&,
-        ZoneReachability const&);
+        ZoneReachability const&, FailureEvidence const&);
 
     /// Nothing when no upstream of the service may get a new flow. The excluded upstream is chosen only if there is no
     /// other.
@@ -41,13 +42,16 @@
 
     Candidate candidate(Directory::UpstreamRecord const&);
     Liveness livenessOf(Model::Upstream const&) const;
-    Directory::UpstreamRecord const* chooseAmong(Core::ServiceId, Core::UpstreamId excluded, Liveness worst);
+    Directory::UpstreamRecord const* chooseAmong(
+        Core::ServiceId, Core::UpstreamId excluded, Liveness worst, bool isFailingAllowed);
+    bool areFewFailing(Core::ServiceId) const;
 
     LocalChoiceOptions m_options;
     Directory::UpstreamDirectory const& m_directory;
     LocalLoad const& m_load;
     UpstreamLiveness const& m_liveness;
     ZoneReachability const& m_zones;
+    FailureEvidence const& m_failures;
     std::mt19937_64 m_random;
 };
 
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -100,9 +100,13 @@
     auto& state = position->second;
     state.isProbing = false;
     switch (result) {
-    case LivenessProbe::Answered:
+    case LivenessProbe::Answered: {
+        bool isStalled = state.liveness == Liveness::Suspect && state.suspicion == Suspicion::SilentRequests;
         becomeAlive(upstream, state);
+        if (isStalled && m_hooks.stalled)
+            m_hooks.stalled(upstream);
         return;
+    }
     case LivenessProbe::NotMade:
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
         return;
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -66,6 +66,8 @@
     std::function<void(Core::UpstreamId)> startProbe;
     /// A probe that the balancer's own traffic gave cause for got no answer; once a suspicion.
     std::function<void(Core::UpstreamId)> unanswered;
+    /// The upstream answered a probe, but not the requests that gave cause for it.
+    std::function<void(Core::UpstreamId)> stalled;
     /// The upstream became unreachable, with the suspicion that started it and what the last probe found.
     std::function<void(Core::UpstreamId, Suspicion, LivenessProbe)> lost;
     /// An upstream that was unreachable answered.
--- a/Libraries/LibMessages/gen/load_types.cpp
+++ b/Libraries/LibMessages/gen/load_types.cpp
@@ -13,6 +13,35 @@
 
 namespace Chicorytally { namespace Messages {
 
+int _kUpstreamReportKindValues[] = {
+  UpstreamReportKind::Unanswered,
+  UpstreamReportKind::Failing
+};
+const char* _kUpstreamReportKindNames[] = {
+  "Unanswered",
+  "Failing"
+};
+const std::map<int, const char*> _UpstreamReportKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kUpstreamReportKindValues, _kUpstreamReportKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const UpstreamReportKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _UpstreamReportKind_VALUES_TO_NAMES.find(val);
+  if (it != _UpstreamReportKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const UpstreamReportKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _UpstreamReportKind_VALUES_TO_NAMES.find(val);
+  if (it != _UpstreamReportKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 UpstreamCount::~UpstreamCount() noexcept {
 }
@@ -799,21 +828,172 @@
 }
 
 
-UpstreamSuspicions::~UpstreamSuspicions() noexcept {
+UpstreamReport::~UpstreamReport() noexcept {
+}
+
+
+void UpstreamReport::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void UpstreamReport::__set_kind(const UpstreamReportKind::type val) {
+  this->kind = val;
+}
+
+void UpstreamReport::__set_reporter(const int64_t val) {
+  this->reporter = val;
+}
+std::ostream& operator<<(std::ostream& out, const UpstreamReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UpstreamReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_upstream = false;
+  bool isset_kind = false;
+  bool isset_reporter = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          isset_upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast34;
+          xfer += iprot->readI32(ecast34);
+          this->kind = static_cast<UpstreamReportKind::type>(ecast34);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reporter);
+          isset_reporter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_upstream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reporter)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t UpstreamReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UpstreamReport");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reporter", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reporter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UpstreamReport &a, UpstreamReport &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.kind, b.kind);
+  swap(a.reporter, b.reporter);
+}
+
+UpstreamReport::UpstreamReport(const UpstreamReport& other35) noexcept {
+  upstream = other35.upstream;
+  kind = other35.kind;
+  reporter = other35.reporter;
+}
+UpstreamReport::UpstreamReport(UpstreamReport&& other36) noexcept {
+  upstream = other36.upstream;
+  kind = other36.kind;
+  reporter = other36.reporter;
+}
+UpstreamReport& UpstreamReport::operator=(const UpstreamReport& other37) noexcept {
+  upstream = other37.upstream;
+  kind = other37.kind;
+  reporter = other37.reporter;
+  return *this;
+}
+UpstreamReport& UpstreamReport::operator=(UpstreamReport&& other38) noexcept {
+  upstream = other38.upstream;
+  kind = other38.kind;
+  reporter = other38.reporter;
+  return *this;
+}
+void UpstreamReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UpstreamReport(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "reporter=" << to_string(reporter);
+  out << ")";
+}
+
+
+UpstreamReports::~UpstreamReports() noexcept {
 }
 
 
-void UpstreamSuspicions::__set_upstreams(const std::vector<int64_t> & val) {
-  this->upstreams = val;
+void UpstreamReports::__set_reports(const std::vector<UpstreamReport> & val) {
+  this->reports = val;
 }
-std::ostream& operator<<(std::ostream& out, const UpstreamSuspicions& obj)
+std::ostream& operator<<(std::ostream& out, const UpstreamReports& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t UpstreamSuspicions::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t UpstreamReports::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -825,7 +1005,7 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_upstreams = false;
+  bool isset_reports = false;
 
   while (true)
   {
@@ -838,19 +1018,19 @@
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->upstreams.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->upstreams.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            this->reports.clear();
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->reports.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += iprot->readI64(this->upstreams[_i38]);
+              xfer += this->reports[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          isset_upstreams = true;
+          isset_reports = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -864,23 +1044,23 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_upstreams)
+  if (!isset_reports)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t UpstreamSuspicions::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t UpstreamReports::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("UpstreamSuspicions");
+  xfer += oprot->writeStructBegin("UpstreamReports");
 
-  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<int64_t> ::const_iterator _iter39;
-    for (_iter39 = this->upstreams.begin(); _iter39 != this->upstreams.end(); ++_iter39)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<UpstreamReport> ::const_iterator _iter44;
+    for (_iter44 = this->reports.begin(); _iter44 != this->reports.end(); ++_iter44)
     {
-      xfer += oprot->writeI64((*_iter39));
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -891,29 +1071,29 @@
   return xfer;
 }
 
-void swap(UpstreamSuspicions &a, UpstreamSuspicions &b) {
+void swap(UpstreamReports &a, UpstreamReports &b) {
   using ::std::swap;
-  swap(a.upstreams, b.upstreams);
+  swap(a.reports, b.reports);
 }
 
-UpstreamSuspicions::UpstreamSuspicions(const UpstreamSuspicions& other40) {
-  upstreams = other40.upstreams;
+UpstreamReports::UpstreamReports(const UpstreamReports& other45) {
+  reports = other45.reports;
 }
-UpstreamSuspicions::UpstreamSuspicions(UpstreamSuspicions&& other41) noexcept {
-  upstreams = std::move(other41.upstreams);
+UpstreamReports::UpstreamReports(UpstreamReports&& other46) noexcept {
+  reports = std::move(other46.reports);
 }
-UpstreamSuspicions& UpstreamSuspicions::operator=(const UpstreamSuspicions& other42) {
-  upstreams = other42.upstreams;
+UpstreamReports& UpstreamReports::operator=(const UpstreamReports& other47) {
+  reports = other47.reports;
   return *this;
 }
-UpstreamSuspicions& UpstreamSuspicions::operator=(UpstreamSuspicions&& other43) noexcept {
-  upstreams = std::move(other43.upstreams);
+UpstreamReports& UpstreamReports::operator=(UpstreamReports&& other48) noexcept {
+  reports = std::move(other48.reports);
   return *this;
 }
-void UpstreamSuspicions::printTo(std::ostream& out) const {
+void UpstreamReports::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "UpstreamSuspicions(";
-  out << "upstreams=" << to_string(upstreams);
+  out << "UpstreamReports(";
+  out << "reports=" << to_string(reports);
   out << ")";
 }
 
@@ -932,9 +1112,9 @@
 __isset.healthResults = true;
 }
 
-void LoadMessage::__set_upstreamSuspicions(const UpstreamSuspicions& val) {
-  this->upstreamSuspicions = val;
-__isset.upstreamSuspicions = true;
+void LoadMessage::__set_upstreamReports(const UpstreamReports& val) {
+  this->upstreamReports = val;
+__isset.upstreamReports = true;
 }
 std::ostream& operator<<(std::ostream& out, const LoadMessage& obj)
 {
@@ -982,8 +1162,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->upstreamSuspicions.read(iprot);
-          this->__isset.upstreamSuspicions = true;
+          xfer += this->upstreamReports.read(iprot);
+          this->__isset.upstreamReports = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1015,9 +1195,9 @@
     xfer += this->healthResults.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.upstreamSuspicions) {
-    xfer += oprot->writeFieldBegin("upstreamSuspicions", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->upstreamSuspicions.write(oprot);
+  if (this->__isset.upstreamReports) {
+    xfer += oprot->writeFieldBegin("upstreamReports", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->upstreamReports.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1029,34 +1209,34 @@
   using ::std::swap;
   swap(a.upstreamCounts, b.upstreamCounts);
   swap(a.healthResults, b.healthResults);
-  swap(a.upstreamSuspicions, b.upstreamSuspicions);
+  swap(a.upstreamReports, b.upstreamReports);
   swap(a.__isset, b.__isset);
 }
 
-LoadMessage::LoadMessage(const LoadMessage& other44) {
-  upstreamCounts = other44.upstreamCounts;
-  healthResults = other44.healthResults;
-  upstreamSuspicions = other44.upstreamSuspicions;
-  __isset = other44.__isset;
+LoadMessage::LoadMessage(const LoadMessage& other49) {
+  upstreamCounts = other49.upstreamCounts;
+  healthResults = other49.healthResults;
+  upstreamReports = other49.upstreamReports;
+  __isset = other49.__isset;
 }
-LoadMessage::LoadMessage(LoadMessage&& other45) noexcept {
-  upstreamCounts = std::move(other45.upstreamCounts);
-  healthResults = std::move(other45.healthResults);
-  upstreamSuspicions = std::move(other45.upstreamSuspicions);
-  __isset = other45.__isset;
+LoadMessage::LoadMessage(LoadMessage&& other50) noexcept {
+  upstreamCounts = std::move(other50.upstreamCounts);
+  healthResults = std::move(other50.healthResults);
+  upstreamReports = std::move(other50.upstreamReports);
+  __isset = other50.__isset;
 }
-LoadMessage& LoadMessage::operator=(const LoadMessage& other46) {
-  upstreamCounts = other46.upstreamCounts;
-  healthResults = other46.healthResults;
-  upstreamSuspicions = other46.upstreamSuspicions;
-  __isset = other46.__isset;
+LoadMessage& LoadMessage::operator=(const LoadMessage& other51) {
+  upstreamCounts = other51.upstreamCounts;
+  healthResults = other51.healthResults;
+  upstreamReports = other51.upstreamReports;
+  __isset = other51.__isset;
   return *this;
 }
-LoadMessage& LoadMessage::operator=(LoadMessage&& other47) noexcept {
-  upstreamCounts = std::move(other47.upstreamCounts);
-  healthResults = std::move(other47.healthResults);
-  upstreamSuspicions = std::move(other47.upstreamSuspicions);
-  __isset = other47.__isset;
+LoadMessage& LoadMessage::operator=(LoadMessage&& other52) noexcept {
+  upstreamCounts = std::move(other52.upstreamCounts);
+  healthResults = std::move(other52.healthResults);
+  upstreamReports = std::move(other52.upstreamReports);
+  __isset = other52.__isset;
   return *this;
 }
 void LoadMessage::printTo(std::ostream& out) const {
@@ -1064,7 +1244,7 @@
   out << "LoadMessage(";
   out << "upstreamCounts="; (__isset.upstreamCounts ? (out << to_string(upstreamCounts)) : (out << "<null>"));
   out << ", " << "healthResults="; (__isset.healthResults ? (out << to_string(healthResults)) : (out << "<null>"));
-  out << ", " << "upstreamSuspicions="; (__isset.upstreamSuspicions ? (out << to_string(upstreamSuspicions)) : (out << "<null>"));
+  out << ", " << "upstreamReports="; (__isset.upstreamReports ? (out << to_string(upstreamReports)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/load_types.h
+++ b/Libraries/LibMessages/gen/load_types.h
@@ -21,6 +21,19 @@
 
 namespace Chicorytally { namespace Messages {
 
+struct UpstreamReportKind {
+  enum type {
+    Unanswered = 1,
+    Failing = 2
+  };
+};
+
+extern const std::map<int, const char*> _UpstreamReportKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const UpstreamReportKind::type& val);
+
+std::string to_string(const UpstreamReportKind::type& val);
+
 class UpstreamCount;
 
 class UpstreamCounts;
@@ -29,7 +42,9 @@
 
 class HealthResults;
 
-class UpstreamSuspicions;
+class UpstreamReport;
+
+class UpstreamReports;
 
 class LoadMessage;
 
@@ -313,32 +328,87 @@
 std::ostream& operator<<(std::ostream& out, const HealthResults& obj);
 
 
-class UpstreamSuspicions : public virtual ::apache::thrift::TBase {
+class UpstreamReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  UpstreamReport(const UpstreamReport&) noexcept;
+  UpstreamReport(UpstreamReport&&) noexcept;
+  UpstreamReport& operator=(const UpstreamReport&) noexcept;
+  UpstreamReport& operator=(UpstreamReport&&) noexcept;
+  UpstreamReport() noexcept
+                 : upstream(0),
+                   kind(static_cast<UpstreamReportKind::type>(0)),
+                   reporter(0) {
+  }
+
+  virtual ~UpstreamReport() noexcept;
+  int64_t upstream;
+  /**
+   * 
+   * @see UpstreamReportKind
+   */
+  UpstreamReportKind::type kind;
+  int64_t reporter;
+
+  void __set_upstream(const int64_t val);
+
+  void __set_kind(const UpstreamReportKind::type val);
+
+  void __set_reporter(const int64_t val);
+
+  bool operator == (const UpstreamReport & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(reporter == rhs.reporter))
+      return false;
+    return true;
+  }
+  bool operator != (const UpstreamReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UpstreamReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UpstreamReport &a, UpstreamReport &b);
+
+std::ostream& operator<<(std::ostream& out, const UpstreamReport& obj);
+
+
+class UpstreamReports : public virtual ::apache::thrift::TBase {
  public:
 
-  UpstreamSuspicions(const UpstreamSuspicions&);
-  UpstreamSuspicions(UpstreamSuspicions&&) noexcept;
-  UpstreamSuspicions& operator=(const UpstreamSuspicions&);
-  UpstreamSuspicions& operator=(UpstreamSuspicions&&) noexcept;
-  UpstreamSuspicions() noexcept {
+  UpstreamReports(const UpstreamReports&);
+  UpstreamReports(UpstreamReports&&) noexcept;
+  UpstreamReports& operator=(const UpstreamReports&);
+  UpstreamReports& operator=(UpstreamReports&&) noexcept;
+  UpstreamReports() noexcept {
   }
 
-  virtual ~UpstreamSuspicions() noexcept;
-  std::vector<int64_t>  upstreams;
+  virtual ~UpstreamReports() noexcept;
+  std::vector<UpstreamReport>  reports;
 
-  void __set_upstreams(const std::vector<int64_t> & val);
+  void __set_reports(const std::vector<UpstreamReport> & val);
 
-  bool operator == (const UpstreamSuspicions & rhs) const
+  bool operator == (const UpstreamReports & rhs) const
   {
-    if (!(upstreams == rhs.upstreams))
+    if (!(reports == rhs.reports))
       return false;
     return true;
   }
-  bool operator != (const UpstreamSuspicions &rhs) const {
+  bool operator != (const UpstreamReports &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const UpstreamSuspicions & ) const;
+  bool operator < (const UpstreamReports & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -346,15 +416,15 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(UpstreamSuspicions &a, UpstreamSuspicions &b);
+void swap(UpstreamReports &a, UpstreamReports &b);
 
-std::ostream& operator<<(std::ostream& out, const UpstreamSuspicions& obj);
+std::ostream& operator<<(std::ostream& out, const UpstreamReports& obj);
 
 typedef struct _LoadMessage__isset {
-  _LoadMessage__isset() : upstreamCounts(false), healthResults(false), upstreamSuspicions(false) {}
+  _LoadMessage__isset() : upstreamCounts(false), healthResults(false), upstreamReports(false) {}
   bool upstreamCounts :1;
   bool healthResults :1;
-  bool upstreamSuspicions :1;
+  bool upstreamReports :1;
 } _LoadMessage__isset;
 
 class LoadMessage : public virtual ::apache::thrift::TBase {
@@ -370,7 +440,7 @@
   virtual ~LoadMessage() noexcept;
   UpstreamCounts upstreamCounts;
   HealthResults healthResults;
-  UpstreamSuspicions upstreamSuspicions;
+  UpstreamReports upstreamReports;
 
   _LoadMessage__isset __isset;
 
@@ -378,7 +448,7 @@
 
   void __set_healthResults(const HealthResults& val);
 
-  void __set_upstreamSuspicions(const UpstreamSuspicions& val);
+  void __set_upstreamReports(const UpstreamReports& val);
 
   bool operator == (const LoadMessage & rhs) const
   {
@@ -390,9 +460,9 @@
       return false;
     else if (__isset.healthResults && !(healthResults == rhs.healthResults))
       return false;
-    if (__isset.upstreamSuspicions != rhs.__isset.upstreamSuspicions)
+    if (__isset.upstreamReports != rhs.__isset.upstreamReports)
       return false;
-    else if (__isset.upstreamSuspicions && !(upstreamSuspicions == rhs.upstreamSuspicions))
+    else if (__isset.upstreamReports && !(upstreamReports == rhs.upstreamReports))
       return false;
     return true;
   }
--- a/Libraries/LibMessages/load.thrift
+++ b/Libraries/LibMessages/load.thrift
@@ -36,13 +36,27 @@
     1: required list<HealthResult> results,
 }
 
-/// Upstreams from which the sender got no answer, neither to traffic nor to a probe. The receiver probes for itself.
-struct UpstreamSuspicions {
-    1: required list<i64> upstreams,
+enum UpstreamReportKind {
+    /// Neither traffic nor a probe got an answer.
+    Unanswered = 1,
+    /// It answers probes, but requests get failures or nothing at all.
+    Failing = 2,
+}
+
+/// What a balancer found out about an upstream.
+struct UpstreamReport {
+    1: required i64 upstream,
+    2: required UpstreamReportKind kind,
+    /// The balancer that found it, which may not be the sender.
+    3: required i64 reporter,
+}
+
+struct UpstreamReports {
+    1: required list<UpstreamReport> reports,
 }
 
 union LoadMessage {
     1: UpstreamCounts upstreamCounts,
     2: HealthResults healthResults,
-    3: UpstreamSuspicions upstreamSuspicions,
+    3: UpstreamReports upstreamReports,
 }
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -109,9 +109,9 @@
     if (isNew)
         flow->acknowledgement = acknowledgement;
     if (isProgress) {
-        flow->acknowledgement = acknowledgement;
+        auto bytes = acknowledgement - std::exchange(flow->acknowledgement, acknowledgement);
         if (flow->requestSince)
-            m_hooks.requestAnswered(key, *flow, m_clock.now() - *flow->requestSince);
+            m_hooks.requestAnswered(key, *flow, { m_clock.now() - *flow->requestSince, bytes });
         flow->requestSince.reset();
     }
     auto end = packet.sequence + packet.length;
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -34,12 +34,20 @@
     bool isClosed { false };
 };
 
+/// The beginning of an answer.
+struct TokenAnswer {
+    /// Since the request was forwarded.
+    std::chrono::nanoseconds duration { 0 };
+    /// Bytes that were acknowledged at once; all of an answer of one packet.
+    std::uint32_t bytes { 0 };
+};
+
 struct TokenFlowHooks {
     std::function<void(Core::UpstreamId)> opened;
     std::function<void(Core::UpstreamId)> closed;
     std::function<void(Core::UpstreamId)> requestStarted;
-    /// The first bytes of the answer were acknowledged after this time.
-    std::function<void(Core::FlowKey const&, TokenFlow const&, std::chrono::nanoseconds)> requestAnswered;
+    /// The caller acknowledged the first bytes of the answer.
+    std::function<void(Core::FlowKey const&, TokenFlow const&, TokenAnswer const&)> requestAnswered;
     /// The flow ended while the request was in flight.
     std::function<void(Core::UpstreamId)> requestDropped;
 };
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -73,42 +73,59 @@
     , m_feed(clock, m_replica, [this] { return relayableAge(); })
     , m_reader(loop, options.keys, options.address.port)
     , m_relays(options.seeds)
-    , m_exchange(clock, {}, exchangeHooks())
+    , m_exchange(clock, { .self = options.self }, exchangeHooks())
     , m_timer(loop.timer([this] { sendNext(); }))
 {
     std::erase(m_relays, options.address);
 }
 
-static Messages::PeerMessage messageOf(std::vector<Core::UpstreamId> const& upstreams)
+static Messages::PeerMessage messageOf(Reports const& reports)
 {
-    Messages::UpstreamSuspicions suspicions;
-    for (auto upstream : upstreams)
-        suspicions.upstreams.push_back(static_cast<std::int64_t>(upstream.value()));
+    Messages::UpstreamReports upstreamReports;
+    for (auto const& report : reports) {
+        auto& message = upstreamReports.reports.emplace_back();
+        message.upstream = static_cast<std::int64_t>(report.upstream.value());
+        message.kind = static_cast<Messages::UpstreamReportKind::type>(report.kind);
+        message.reporter = static_cast<std::int64_t>(report.reporter.value());
+    }
     Messages::LoadMessage load;
-    load.__set_upstreamSuspicions(suspicions);
+    load.__set_upstreamReports(upstreamReports);
     Messages::PeerMessage message;
     message.__set_load(load);
     return message;
 }
 
-SuspicionExchangeHooks Subscription::exchangeHooks()
+static std::optional<Load::PeerReport> fromMessage(Messages::UpstreamReport const& message)
+{
+    bool isKnown = message.kind == Messages::UpstreamReportKind::Unanswered
+        || message.kind == Messages::UpstreamReportKind::Failing;
+    if (!isKnown)
+        return std::nullopt;
+    return Load::PeerReport { Core::UpstreamId { static_cast<std::uint64_t>(message.upstream) },
+        static_cast<Load::ReportKind>(message.kind), Core::VmId { static_cast<std::uint64_t>(message.reporter) } };
+}
+
+ReportExchangeHooks Subscription::exchangeHooks()
 {
     return {
-        .sendToRelays = [this](auto const& upstreams) { m_messenger->send(m_relays, messageOf(upstreams)); },
+        .sendToRelays = [this](auto const& reports) { m_messenger->send(m_relays, messageOf(reports)); },
         .sendToFollowers
-        = [this](auto const& upstreams) { m_messenger->send(m_server->followers(), messageOf(upstreams)); },
-        .reported = [this](auto upstream) { m_hooks.upstreamReported(upstream); },
+        = [this](auto const& reports) { m_messenger->send(m_server->followers(), messageOf(reports)); },
+        .received = [this](auto const& report) { m_hooks.reported(report); },
     };
 }
 
 void Subscription::receive(Messages::PeerMessage const& message)
 {
-    if (!message.__isset.load || !message.load.__isset.upstreamSuspicions)
+    if (!message.__isset.load || !message.load.__isset.upstreamReports)
         return;
-    std::vector<Core::UpstreamId> upstreams;
-    for (auto upstream : message.load.upstreamSuspicions.upstreams)
-        upstreams.emplace_back(static_cast<std::uint64_t>(upstream));
-    m_exchange.receive(upstreams);
+    Reports reports;
+    for (auto const& entry : message.load.upstreamReports.reports) {
+        // Kinds of newer versions are ignored.
+        if (auto report = fromMessage(entry))
+            reports.push_back(*report);
+    }
+    m_exchange.receive(reports);
 }
 
 void Subscription::tick()
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -6,7 +6,7 @@
 #include <LibRelay/PeerMessenger.h>
 #include <LibRelay/PeerReader.h>
 #include <LibRelay/PeerServer.h>
-#include <LibRelay/SuspicionExchange.h>
+#include <LibRelay/ReportExchange.h>
 
 #include <chrono>
 #include <cstdint>
@@ -36,8 +36,8 @@
     std::function<void(Distribution::Item const&)> itemChanged;
     /// After each answer or failure of a source.
     std::function<void()> updated;
-    /// Another balancer got no answer from the upstream.
-    std::function<void(Core::UpstreamId)> upstreamReported;
+    /// Another balancer found something out about an upstream.
+    std::function<void(Load::PeerReport const&)> reported;
 };
 
 struct SubscriptionCounters {
@@ -61,8 +61,8 @@
     void start() { sendNext(); }
     /// To be called every 50 ms.
     void tick();
-    /// Tells other balancers that an upstream doesn't answer.
-    void reportUnanswered(Core::UpstreamId upstream) { m_exchange.report(upstream); }
+    /// Tells other balancers what this one found out about an upstream.
+    void report(Core::UpstreamId upstream, Load::ReportKind kind) { m_exchange.report(upstream, kind); }
     /// Whether the copy holds all that the store holds, as far as can be known now.
     bool isComplete() const { return m_follower.isFresh(); }
     std::optional<std::chrono::milliseconds> age() const { return m_follower.age(); }
@@ -72,7 +72,7 @@
 private:
     Subscription(EventLoop::Loop&, Core::Clock const&, SubscriptionOptions const&, SubscriptionHooks);
 
-    SuspicionExchangeHooks exchangeHooks();
+    ReportExchangeHooks exchangeHooks();
     void receive(Messages::PeerMessage const&);
     void sendNext();
     void finish(bool isPeer, std::optional<Distribution::StoreAnswer> const&, Distribution::StoreFailure,
@@ -89,7 +89,7 @@
     std::unique_ptr<PeerMessenger> m_messenger;
     /// Balancers that pass reports on to their followers.
     std::vector<Core::Endpoint> m_relays;
-    SuspicionExchange m_exchange;
+    ReportExchange m_exchange;
     std::unique_ptr<EventLoop::Subscription> m_timer;
 };
 
--- a/Tests/LibBalancer/SiteModel.cpp
+++ b/Tests/LibBalancer/SiteModel.cpp
@@ -111,14 +111,14 @@
     return entry;
 }
 
-void SiteModel::spreadReport(Node const& sender, Core::UpstreamId id)
+void SiteModel::spreadReport(Node const& sender, Load::PeerReport const& report)
 {
     for (auto& node : m_nodes) {
         if (node.get() == &sender || !node->isUp || !isConnected(sender.zone, node->zone))
             continue;
-        schedule(LinkDelay, [&node, id, life = node->life] {
+        schedule(LinkDelay, [&node, report, life = node->life] {
             if (node->isUp && node->life == life)
-                node->balancer->noteReported(id);
+                node->balancer->noteReport(report);
         });
     }
 }
@@ -129,6 +129,9 @@
     node.isUp = true;
     ++node.life;
     node.metrics = std::make_unique<Telemetry::Metrics>();
+    Balancer::TokenBalancerOptions options {
+        .self = Core::VmId { index + 1 }, .zone = zoneId(node.zone), .randomSeed = m_random()
+    };
     Balancer::TokenBalancerHooks hooks {
         .startProbe =
             [this, &node, life = node.life](Core::UpstreamId id, auto const&) {
@@ -139,7 +142,10 @@
                         node.balancer->probeEnded(id, probe(node.zone, *indexOf(id)));
                 });
             },
-        .reportUnanswered = [this, &node](Core::UpstreamId id) { spreadReport(node, id); },
+        .report =
+            [this, &node, self = options.self](Core::UpstreamId id, Load::ReportKind kind) {
+                spreadReport(node, { id, kind, self });
+            },
         .sendReset =
             [this, &node](Core::FlowKey const& flow, auto) {
                 auto caller = flow.source.address.v4Bytes()[3];
@@ -148,7 +154,6 @@
             },
         .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; },
     };
-    Balancer::TokenBalancerOptions options { .zone = zoneId(node.zone), .randomSeed = m_random() };
     node.balancer = std::make_unique<Balancer::TokenBalancer>(m_clock, options, std::move(hooks), *node.metrics);
     Directory::RouteTable table;
     table.version = 1;
--- a/Tests/LibBalancer/SiteModel.h
+++ b/Tests/LibBalancer/SiteModel.h
@@ -72,7 +72,7 @@
 
     void schedule(std::chrono::nanoseconds delay, Event);
     void startBalancer(std::size_t index);
-    void spreadReport(Node const& sender, Core::UpstreamId);
+    void spreadReport(Node const& sender, Load::PeerReport const&);
     void tickBalancer(std::size_t index, std::uint64_t life);
     void write(std::function<void(Node&)> const& change);
     void writeUpstream(std::size_t index);
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -21,11 +21,11 @@
     Core::ManualClock clock;
     Telemetry::Metrics metrics;
     std::vector<std::uint64_t> probed;
-    std::vector<std::uint64_t> reports;
+    std::vector<std::pair<std::uint64_t, Load::ReportKind>> reports;
     std::vector<Core::FlowKey> resets;
     Balancer::TokenBalancer balancer { clock, { .zone = Here, .randomSeed = 1 },
         { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
-            .reportUnanswered = [this](auto id) { reports.push_back(id.value()); },
+            .report = [this](auto id, auto kind) { reports.emplace_back(id.value(), kind); },
             .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); },
             .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; } },
         metrics };
@@ -119,7 +119,7 @@
     balancer.decide(answer);
     tickFor(1s);
     BOOST_TEST(probed.empty());
-    balancer.noteReported(Core::UpstreamId { upstream });
+    balancer.noteReport({ Core::UpstreamId { upstream }, Load::ReportKind::Unanswered, Core::VmId { 9 } });
     BOOST_REQUIRE(probed.size() == 1U);
     BOOST_TEST(resets.empty());
     answerProbes(Load::LivenessProbe::NoAnswer);
@@ -158,10 +158,10 @@
 {
     // Guards against a balancer behind a cut link that takes upstreams from all others.
     auto upstream = request(1);
-    balancer.noteReported(Core::UpstreamId { upstream });
+    balancer.noteReport({ Core::UpstreamId { upstream }, Load::ReportKind::Unanswered, Core::VmId { 9 } });
     answerProbes(Load::LivenessProbe::Answered);
     BOOST_TEST(resets.empty());
-    balancer.noteReported(Core::UpstreamId { upstream });
+    balancer.noteReport({ Core::UpstreamId { upstream }, Load::ReportKind::Unanswered, Core::VmId { 9 } });
     BOOST_TEST(probed.empty());
 }
 
--- a/Tests/LibLoad/TestLocalChoice.cpp
+++ b/Tests/LibLoad/TestLocalChoice.cpp
@@ -24,7 +24,14 @@
             .check = [](auto, auto) {},
             .lost = [](auto) {},
             .regained = [](auto) {} } };
-    Load::LocalChoice choice { { .zone = Here, .randomSeed = 1 }, directory, load, liveness, zones };
+    Load::FailureEvidence failures { clock, { .self = Core::VmId { 1 } }, [](auto) {} };
+    Load::LocalChoice choice { { .zone = Here, .randomSeed = 1 }, directory, load, liveness, zones, failures };
+
+    void fail(std::uint64_t id)
+    {
+        for (int i = 0; i < 3; ++i)
+            failures.noteOwn(Core::UpstreamId { id });
+    }
 
     void add(std::uint64_t id, Core::ZoneId zone, std::chrono::milliseconds coldFor = 0ms)
     {
@@ -124,4 +131,24 @@
     BOOST_TEST(choose() != 21U);
 }
 
+BOOST_AUTO_TEST_CASE(FailingUpstreamsAreAvoidedWhileTheyAreFew)
+{
+    // Guards against flows to upstreams that fail requests, and against the rest that gets everything when most fail.
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        add(id, Here);
+    fail(1);
+    fail(2);
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(choose() > 2U);
+    fail(3);
+    std::map<std::uint64_t, unsigned> chosen;
+    for (int i = 0; i < 200; ++i)
+        ++chosen[choose()];
+    BOOST_TEST(chosen.size() == 4U);
+    clock.advance(3s);
+    for (int i = 0; i < 200; ++i)
+        ++chosen[choose()];
+    BOOST_TEST(chosen.size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -67,7 +67,7 @@
     {
         std::string error;
         Relay::SubscriptionOptions options { .address = address, .seeds = std::move(seeds) };
-        options.self = Core::VmId { address.port };
+        options.self = self = Core::VmId { address.port };
         options.incarnation = Core::Incarnation { 1 };
         options.keys.sealing = *Messages::PeerKey::fromHex(std::string(64, 'a'));
         subscription = Relay::Subscription::create(loop, clock, options,
@@ -78,9 +78,9 @@
                         loop.stop();
                     },
                 .updated = [] {},
-                .upstreamReported =
-                    [this, &loop](auto upstream) {
-                        reported.push_back(upstream);
+                .reported =
+                    [this, &loop](auto const& report) {
+                        reported.push_back(report);
                         loop.stop();
                     } },
             error);
@@ -88,8 +88,9 @@
     }
 
     std::unique_ptr<Relay::Subscription> subscription;
+    Core::VmId self;
     unsigned items { 0 };
-    std::vector<Core::UpstreamId> reported;
+    Relay::Reports reported;
 };
 
 }
@@ -148,11 +149,11 @@
     for (auto* node : { &reader, &finder, &other })
         node->subscription->start();
     // The seed knows a follower once that has asked for changes.
-    auto report = loop->timer([&] { finder.subscription->reportUnanswered(Core::UpstreamId { 7 }); });
+    auto report = loop->timer([&] { finder.subscription->report(Core::UpstreamId { 7 }, Load::ReportKind::Failing); });
     report->arm(200ms);
     while (other.reported.empty())
         loop->run();
-    std::vector const expected { Core::UpstreamId { 7 } };
+    Relay::Reports const expected { { Core::UpstreamId { 7 }, Load::ReportKind::Failing, finder.self } };
     BOOST_CHECK(reader.reported == expected);
     BOOST_CHECK(other.reported == expected);
     BOOST_TEST(finder.reported.empty());
