LibLoad, LibBalancer: Keep the flows of a draining upstream that refuses connections

A draining upstream closed its listener a few milliseconds before its end; a request of it had been silent for 200 ms, the probe was refused, and the balancer reset the flow while the upstream still held it. The store dropped the entry 20 ms later.

Ruled out: the reports of other balancers (the one that reset the flow had found the silence itself; they came after).

A refused probe of a listed, draining upstream now counts as one without an answer and is made again after 500 ms, or as soon as the entry is dropped. A suspect whose entry is dropped meanwhile is probed again; it was left alone before.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -264,7 +264,10 @@
 {
     logEvent(Level::Info, "upstream_probed", { { "upstream", nameOf(id) }, { "result", toString(result) } });
     noteProbeOfZone(id, result);
-    m_liveness.probeEnded(id, result);
+    auto const* record = m_directory.find(id);
+    bool isDraining = record && record->isListed && record->entry.upstream.isDraining();
+    bool isClosing = isDraining && result == Load::LivenessProbe::Refused;
+    m_liveness.probeEnded(id, isClosing ? Load::LivenessProbe::Closing : result);
 }
 
 void TokenBalancer::noteAnswerFrom(Core::UpstreamId id)
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -25,6 +25,8 @@
         return "answered";
     case LivenessProbe::Refused:
         return "refused";
+    case LivenessProbe::Closing:
+        return "closing";
     case LivenessProbe::NoAnswer:
         return "no_answer";
     case LivenessProbe::NotMade:
@@ -110,6 +112,12 @@
     case LivenessProbe::NotMade:
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
         return;
+    case LivenessProbe::Closing:
+        if (state.liveness == Liveness::Suspect && ++state.unansweredProbes < m_options.probesToConfirm) {
+            state.nextProbeAt = m_clock.now() + m_options.firstRetry;
+            return;
+        }
+        break;
     case LivenessProbe::Refused:
     case LivenessProbe::NoAnswer:
         break;
@@ -172,9 +180,11 @@
         bool isDue = !state.isProbing && m_clock.now() >= state.nextProbeAt;
         if (!isDue)
             continue;
-        if (state.isListed && state.liveness != Liveness::Alive)
+        bool isAwaited
+            = state.liveness == Liveness::Suspect || (state.isListed && state.liveness == Liveness::Unreachable);
+        if (isAwaited)
             startProbe(upstream, state);
-        else if (!state.isListed && state.liveness != Liveness::Unreachable)
+        else if (!state.isListed && state.liveness == Liveness::Alive)
             suspect(upstream, Suspicion::Unlisted, m_clock.now());
     }
 }
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -27,6 +27,8 @@
     Answered,
     /// The VM answered that no process listens.
     Refused,
+    /// The same of an upstream that drains: it may close its listener before it has sent its last answers.
+    Closing,
     NoAnswer,
     /// The probe could not be made here.
     NotMade,
@@ -56,7 +58,8 @@
     /// A suspect that answered a probe is not probed again for this long, as a slow upstream is silent without being
     /// gone.
     std::chrono::milliseconds probeHoldoff { 1000 };
-    /// Pace of the probes that find out whether an unreachable upstream is back; doubles up to the maximum.
+    /// Pace of the probes that find out whether an unreachable upstream is back; doubles up to the maximum. A closing
+    /// one is probed again after the first of them.
     std::chrono::milliseconds firstRetry { 500 };
     std::chrono::milliseconds maximumRetry { 2000 };
 };
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -154,6 +154,24 @@
     BOOST_TEST(probed.size() >= 7U);
 }
 
+BOOST_AUTO_TEST_CASE(DrainingUpstreamThatRefusesConnectionsKeepsItsFlows)
+{
+    // Guards against resets by a balancer that takes the closed listener of an upstream for its end.
+    auto upstream = request(1);
+    Directory::UpstreamEntry draining = balancer.directory().find(Core::UpstreamId { upstream })->entry;
+    draining.upstream.state = Model::UpstreamState::Draining;
+    draining.revision = Core::Revision { 2 };
+    balancer.applyUpstream(draining);
+    tickFor(250ms);
+    answerProbes(Load::LivenessProbe::Refused);
+    tickFor(200ms);
+    BOOST_TEST(resets.empty());
+    balancer.removeUpstream(Core::UpstreamId { upstream }, Core::Revision { 3 });
+    tickFor(50ms);
+    answerProbes(Load::LivenessProbe::Refused);
+    BOOST_TEST(resets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ReportOfALivingUpstreamChangesNothing)
 {
     // Guards against a balancer behind a cut link that takes upstreams from all others.
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -43,6 +43,7 @@
     { "refused", { LivenessProbe::Refused }, Liveness::Unreachable, 1 },
     { "one loss", { LivenessProbe::NoAnswer, LivenessProbe::Answered }, Liveness::Alive, 0 },
     { "two losses", { LivenessProbe::NoAnswer, LivenessProbe::NoAnswer }, Liveness::Unreachable, 1 },
+    { "closing", { LivenessProbe::Closing }, Liveness::Suspect, 0 },
     { "not made", { LivenessProbe::NotMade }, Liveness::Suspect, 0 },
 };
 
@@ -119,6 +120,34 @@
     BOOST_TEST(probes == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ClosingUpstreamIsProbedAgainLater)
+{
+    // Guards against resets of flows whose draining upstream has closed its listener and finishes its last answers.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbe::Closing);
+    clock.advance(400ms);
+    liveness.tick();
+    BOOST_TEST(probes == 1U);
+    BOOST_TEST(lost == 0U);
+    clock.advance(100ms);
+    liveness.tick();
+    BOOST_TEST(probes == 2U);
+    liveness.probeEnded(Upstream, LivenessProbe::Closing);
+    BOOST_TEST(lost == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ClosingUpstreamIsLostWithItsEntry)
+{
+    // Guards against a suspect that is never probed again after discovery dropped it.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbe::Closing);
+    liveness.noteUnlisted(Upstream);
+    liveness.tick();
+    BOOST_TEST(probes == 2U);
+    liveness.probeEnded(Upstream, LivenessProbe::Refused);
+    BOOST_TEST(lost == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(OwnFindingIsReportedOnce)
 {
     // Guards against upstreams of which other balancers learn only by losing a request, and against reports of reports.
