LibBalancer, LibRelay, Utilities: Add trace for flows, and mend what stood twice

Cause: on-call engineers had the lines of a flow on several balancers and had to join them by hand, and zones stood in the log as hashes.

Lines of zones name the zone. Relay::answerHandler and Distribution::StoreCallback serve the store and the peers; the placer alone keeps completeness; decided() writes flow_joined, too, with version and age.

--- a/Libraries/LibBalancer/FlowLog.cpp
+++ b/Libraries/LibBalancer/FlowLog.cpp
@@ -62,15 +62,6 @@
             { "view_age_ms", view.age ? view.age->count() : -1 } });
 }
 
-void FlowLog::joined(Placement::TokenPacket const& packet, Placement::TokenDecision const& decision)
-{
-    if (!m_limiter.admit("flow_joined"))
-        return;
-    logEvent(Level::Info, "flow_joined",
-        { { "flow", nameOf(packet.flow) }, { "request", nameOf(packet.requestId) },
-            { "upstream", nameOf(decision.upstream) }, { "token", packet.token } });
-}
-
 void FlowLog::gaveUp(Placement::TokenFlowTable::Ended const& flow, std::string_view upstream, std::string_view cause)
 {
     // A line for each request that was cut goes before those of flows that were idle.
--- a/Libraries/LibBalancer/FlowLog.h
+++ b/Libraries/LibBalancer/FlowLog.h
@@ -26,18 +26,17 @@
 public:
     explicit FlowLog(Core::Clock const&);
 
-    /// A decision on an opening packet, or on a later one that was not forwarded.
+    /// A decision on an opening packet, on a later one that was not forwarded, or on the first one here of a flow that
+    /// another balancer opened.
     void decided(Placement::TokenPacket const&, Placement::TokenDecision const&, ViewState const&);
-    /// The first packet here of a flow that another balancer opened.
-    void joined(Placement::TokenPacket const&, Placement::TokenDecision const&);
     /// The flow was given up though no packet of it was at hand.
     void gaveUp(Placement::TokenFlowTable::Ended const&, std::string_view upstream, std::string_view cause);
     /// The answer came late.
     void answeredLate(
         Core::FlowKey const&, std::uint64_t request, std::string_view upstream, std::chrono::milliseconds);
-    /// Tells what was left out; to be called often.
     /// An answer was so short that it is probably an error.
     void answeredShort(Core::FlowKey const&, std::uint64_t request, std::string_view upstream, std::uint32_t bytes);
+    /// Tells what was left out; to be called often.
     void report();
 
 private:
--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -17,22 +17,22 @@
 TokenBalancer::TokenBalancer(
     Core::Clock const& clock, TokenBalancerOptions options, TokenBalancerHooks hooks, Telemetry::Metrics& metrics)
     : m_clock(clock)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_answerTimes(metrics.distribution("chicorytally_answer_seconds",
           "Time from a request to the caller's first acknowledgement of its answer",
           Telemetry::exponentialBounds(ShortestAnswerSeconds, AnswerTimeFactor, AnswerTimeBuckets)))
     , m_log(clock)
-    , m_directory(clock, options.directory, directoryHooks())
-    , m_liveness(clock, options.liveness, livenessHooks())
+    , m_directory(clock, m_options.directory, directoryHooks())
+    , m_liveness(clock, m_options.liveness, livenessHooks())
     , m_zones({}, zoneHooks())
-    , m_failures(clock, { .self = options.self },
+    , m_failures(clock, { .self = m_options.self },
           [this](Core::UpstreamId id) {
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
           })
-    , m_choice({ .zone = options.zone, .randomSeed = options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
+    , m_choice({ .zone = m_options.zone, .randomSeed = m_options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
           m_failures)
-    , m_flows(clock, options.maximumFlows, flowHooks())
+    , m_flows(clock, m_options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_lastTick(clock.now())
     , m_lastSweep(clock.now())
@@ -112,7 +112,7 @@
             },
         .regained =
             [this](Core::ZoneId zone) {
-                logEvent(Level::Info, "zone_regained", { { "zone", zone.value() } });
+                logEvent(Level::Info, "zone_regained", { { "zone", nameOf(zone) } });
                 for (auto const* record : m_directory.upstreamsIn(zone))
                     m_liveness.retry(record->entry.upstream.id);
             },
@@ -177,15 +177,20 @@
     return record ? record->entry.upstream.name : std::string { "forgotten" };
 }
 
+std::string TokenBalancer::nameOf(Core::ZoneId zone) const
+{
+    auto name = m_options.zoneNames.find(zone);
+    return name == m_options.zoneNames.end() ? std::to_string(zone.value()) : name->second;
+}
+
 Placement::TokenDecision TokenBalancer::decide(Placement::TokenPacket const& packet)
 {
     auto decision = m_placer.decide(packet);
     ++m_counters.verdicts[static_cast<std::size_t>(decision.verdict)];
     ++m_counters.reasons[static_cast<std::size_t>(decision.reason)];
-    if (packet.kind == Placement::PacketKind::Open || decision.verdict != Placement::Verdict::Forward)
+    bool isOpen = packet.kind == Placement::PacketKind::Open;
+    if (isOpen || decision.verdict != Placement::Verdict::Forward || decision.isFirstHere)
         m_log.decided(packet, decision, { m_directory.version(), m_hooks.viewAge() });
-    else if (decision.isFirstHere)
-        m_log.joined(packet, decision);
     return decision;
 }
 
@@ -247,19 +252,10 @@
 
 void TokenBalancer::setZoneOut(Core::ZoneId zone, bool isOut)
 {
-    logEvent(Level::Info, isOut ? "zone_out" : "zone_in", { { "zone", zone.value() } });
+    logEvent(Level::Info, isOut ? "zone_out" : "zone_in", { { "zone", nameOf(zone) } });
     m_directory.setZoneOut(zone, isOut);
 }
 
-void TokenBalancer::setComplete(bool isComplete)
-{
-    if (!isComplete)
-        m_completeSince.reset();
-    else if (!m_completeSince)
-        m_completeSince = m_clock.now();
-    m_placer.setCompleteSince(m_completeSince);
-}
-
 void TokenBalancer::probeEnded(Core::UpstreamId id, Load::LivenessProbe result)
 {
     logEvent(Level::Info, "upstream_probed", { { "upstream", nameOf(id) }, { "result", toString(result) } });
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -7,6 +7,8 @@
 #include <LibPlacement/Placement.h>
 #include <LibTelemetry/Telemetry.h>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -22,6 +24,8 @@
     Core::VmId self;
     /// Zone of this balancer.
     Core::ZoneId zone;
+    /// For logs; a zone without a name is shown by its id.
+    absl::flat_hash_map<Core::ZoneId, std::string> zoneNames;
     std::uint64_t randomSeed { 0 };
     std::size_t maximumFlows { 100'000 };
     Directory::DirectoryOptions directory;
@@ -76,7 +80,7 @@
     void removeUpstream(Core::UpstreamId, Core::Revision);
     void setZoneOut(Core::ZoneId, bool isOut);
     /// Whether the directory holds all that discovery lists, as far as can be known now.
-    void setComplete(bool);
+    void setComplete(bool isComplete) { m_placer.setComplete(isComplete); }
 
     void probeEnded(Core::UpstreamId, Load::LivenessProbe);
     /// What another balancer found out: an upstream that didn't answer is probed from here before a request is lost on
@@ -105,6 +109,7 @@
     void noteAnswer(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenAnswer const&);
     void noteFailure(Core::UpstreamId, std::string_view sign);
     std::string nameOf(Core::UpstreamId) const;
+    std::string nameOf(Core::ZoneId) const;
     void noteUnlisted(Directory::UpstreamRecord const&);
     void giveUpFlows(Core::UpstreamId, std::string_view cause);
     bool notePause();
@@ -126,7 +131,6 @@
     Load::LocalChoice m_choice;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
-    std::optional<Core::TimePoint> m_completeSince;
     Core::TimePoint m_lastTick;
     Core::TimePoint m_lastSweep;
 };
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -66,6 +66,9 @@
 
 std::string_view toString(StoreFailure);
 
+/// Called once a request, with the answer or with the failure and its cause.
+using StoreCallback = std::function<void(std::optional<StoreAnswer>, StoreFailure, std::string cause)>;
+
 struct FollowerOptions {
     /// Peers that are asked rather than the store, in this order. Of two balancers at most one may have the other here:
     /// otherwise they would follow each other and nobody the store.
--- a/Libraries/LibPlacement/TokenPlacer.cpp
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -15,6 +15,14 @@
 {
 }
 
+void TokenPlacer::setComplete(bool isComplete)
+{
+    if (!isComplete)
+        m_completeSince.reset();
+    else if (!m_completeSince)
+        m_completeSince = m_clock.now();
+}
+
 TokenDecision TokenPlacer::decide(TokenPacket const& packet)
 {
     if (m_directory.version() == 0)
--- a/Libraries/LibPlacement/TokenPlacer.h
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -54,8 +54,8 @@
         Core::Clock const&, TokenPlacerOptions, Directory::UpstreamDirectory const&, TokenFlowTable&, TokenPlacerHooks);
 
     TokenDecision decide(TokenPacket const&);
-    /// Since when the directory holds every upstream that the discovery service lists; nothing while it may lack some.
-    void setCompleteSince(std::optional<Core::TimePoint> time) { m_completeSince = time; }
+    /// Whether the directory holds every upstream that the discovery service lists, as far as can be known now.
+    void setComplete(bool);
     /// Forgets when tokens were first seen unknown, once they can no longer matter.
     void sweep();
 
@@ -69,6 +69,7 @@
     Directory::UpstreamDirectory const& m_directory;
     TokenFlowTable& m_flows;
     TokenPlacerHooks m_hooks;
+    /// Nothing while the directory may lack upstreams.
     std::optional<Core::TimePoint> m_completeSince;
     absl::flat_hash_map<Directory::RoutingToken, Core::TimePoint> m_unknownSince;
 };
--- /dev/null
+++ b/Libraries/LibRelay/AnswerHandler.cpp
@@ -0,0 +1,26 @@
+#include <LibRelay/AnswerHandler.h>
+
+namespace Chicorytally::Relay {
+
+using Distribution::StoreFailure;
+
+static constexpr int StatusOk = 200;
+
+EventLoop::HttpClient::Callback answerHandler(AnswerFormat format, Distribution::StoreCallback callback)
+{
+    return [format = std::move(format), callback = std::move(callback)](auto response, EventLoop::HttpError error) {
+        if (!response) {
+            callback(std::nullopt, StoreFailure::Unreachable, std::string { toString(error) });
+            return;
+        }
+        if (response->status != StatusOk) {
+            callback(std::nullopt, format.failureOf(response->status), "status " + std::to_string(response->status));
+            return;
+        }
+        std::string cause;
+        auto answer = format.decode(response->body, cause);
+        callback(std::move(answer), StoreFailure::Malformed, cause);
+    };
+}
+
+}
--- a/Libraries/LibRelay/PeerReader.h
+++ b/Libraries/LibRelay/PeerReader.h
@@ -16,16 +16,14 @@
 /// Reads the changes that other balancers relay.
 class PeerReader {
 public:
-    /// Called once a request, with the answer or with the failure and its cause.
-    using Callback
-        = std::function<void(std::optional<Distribution::StoreAnswer>, Distribution::StoreFailure, std::string cause)>;
-
     /// The port is where this balancer receives datagrams.
     PeerReader(EventLoop::Loop&, Messages::KeyRing const&, std::uint16_t port);
 
-    void watch(Core::Endpoint const& peer, Distribution::WatchRequest const&, Callback);
+    void watch(Core::Endpoint const& peer, Distribution::WatchRequest const&, Distribution::StoreCallback);
 
 private:
+    std::optional<Distribution::StoreAnswer> decode(std::string const& body, std::string& cause) const;
+
     EventLoop::Loop& m_loop;
     Messages::KeyRing m_keys;
     std::uint16_t m_port;
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -32,7 +32,7 @@
 
 struct SubscriptionHooks {
     /// Sends a call to the store and reports its end once.
-    std::function<void(Distribution::StoreRequest const&, PeerReader::Callback)> callStore;
+    std::function<void(Distribution::StoreRequest const&, Distribution::StoreCallback)> callStore;
     std::function<void(Distribution::Item const&)> itemChanged;
     /// After each answer or failure of a source.
     std::function<void()> updated;
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -68,7 +68,7 @@
         directory.applyRoutes(routes(1));
         directory.applyUpstream(entry(1));
         directory.applyUpstream(entry(2));
-        placer.setCompleteSince(clock.now());
+        placer.setComplete(true);
     }
 
     static Placement::TokenPacket packet(PacketKind kind, std::uint16_t port = 4000)
@@ -207,10 +207,10 @@
     BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Drop);
     clock.advance(2999ms);
     BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Drop);
-    placer.setCompleteSince(std::nullopt);
+    placer.setComplete(false);
     clock.advance(10s);
     BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Drop);
-    placer.setCompleteSince(clock.now());
+    placer.setComplete(true);
     clock.advance(3s);
     BOOST_CHECK(placer.decide(unknown).verdict == Verdict::Reset);
 }
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -29,7 +29,7 @@
 /// A store in this process: answers listings at once and watches when a change comes.
 class FakeStore {
 public:
-    void call(Distribution::StoreRequest const& request, Relay::PeerReader::Callback callback)
+    void call(Distribution::StoreRequest const& request, Distribution::StoreCallback callback)
     {
         ++calls;
         if (isRefusing) {
@@ -57,7 +57,7 @@
 private:
     Distribution::StoreAnswer answer() const { return { .items = items, .asOf = items.back().revision }; }
 
-    std::vector<Relay::PeerReader::Callback> m_waiting;
+    std::vector<Distribution::StoreCallback> m_waiting;
 };
 
 /// A balancer that keeps a copy of the store.
--- a/Utilities/chicorytally/Command.h
+++ b/Utilities/chicorytally/Command.h
@@ -36,5 +36,6 @@
 Command upstreamsCommand();
 Command membersCommand();
 Command explainCommand();
+Command traceCommand();
 
 }
--- /dev/null
+++ b/Utilities/chicorytally/FlowTrace.cpp
@@ -0,0 +1,185 @@
+#include <chicorytally/FlowTrace.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace Chicorytally::Tool {
+
+// Longer than it takes to notice any of the events.
+static constexpr absl::Duration ContextBefore = absl::Seconds(10);
+
+std::string LogLine::field(std::string_view name) const
+{
+    auto position = fields.find(name);
+    return position == fields.end() ? std::string {} : position->second;
+}
+
+// The word in front of the time, as collectors of several logs write it.
+static std::string lastWord(std::string_view prefix)
+{
+    std::vector<std::string> words = absl::StrSplit(absl::string_view { prefix.data(), prefix.size() }, ' ', absl::SkipWhitespace());
+    return words.empty() ? std::string {} : words.back();
+}
+
+std::optional<LogLine> parseLogLine(std::string const& text, std::string const& file)
+{
+    static constexpr std::string_view TimeField { "time=" };
+    auto begin = text.find(TimeField);
+    auto level = text.find(" level=");
+    if (begin == std::string::npos || level == std::string::npos || level < begin)
+        return std::nullopt;
+    LogLine line;
+    auto time = absl::StrReplaceAll(
+        text.substr(begin + TimeField.size(), level - begin - TimeField.size()), { { ",", "." } });
+    std::string error;
+    if (!absl::ParseTime("%Y-%m-%d %H:%M:%E*S", time, &line.time, &error))
+        return std::nullopt;
+    auto node = lastWord(std::string_view { text }.substr(0, begin));
+    line.node = node.empty() ? file : node;
+    line.text = text.substr(begin);
+    for (auto word : absl::StrSplit(text.substr(level), ' ', absl::SkipWhitespace())) {
+        std::pair<std::string, std::string> field = absl::StrSplit(word, absl::MaxSplits('=', 1));
+        line.fields.insert(std::move(field));
+    }
+    return line;
+}
+
+std::vector<LogLine> readLogLines(std::istream& stream, std::string const& file)
+{
+    std::vector<LogLine> lines;
+    for (std::string text; std::getline(stream, text);) {
+        if (auto line = parseLogLine(text, file))
+            lines.push_back(std::move(*line));
+    }
+    return lines;
+}
+
+namespace {
+
+    /// What the lines of a flow name.
+    struct Subjects {
+        std::set<std::string> flows;
+        std::set<std::string> upstreams;
+        std::set<std::string> nodes;
+        absl::Time first { absl::InfiniteFuture() };
+        absl::Time last { absl::InfinitePast() };
+    };
+
+}
+
+static bool isNamed(LogLine const& line, std::string const& id)
+{
+    auto flow = line.field("flow");
+    return flow == id || flow.starts_with(id + "-") || (!flow.empty() && line.field("request") == id);
+}
+
+static Subjects subjectsOf(std::vector<LogLine> const& lines, std::string const& id)
+{
+    Subjects subjects;
+    for (auto const& line : lines) {
+        if (isNamed(line, id))
+            subjects.flows.insert(line.field("flow"));
+    }
+    for (auto const& line : lines) {
+        if (!subjects.flows.contains(line.field("flow")))
+            continue;
+        subjects.upstreams.insert(line.field("upstream"));
+        subjects.nodes.insert(line.node);
+        subjects.first = std::min(subjects.first, line.time);
+        subjects.last = std::max(subjects.last, line.time);
+    }
+    return subjects;
+}
+
+static bool isContext(LogLine const& line, Subjects const& subjects)
+{
+    static constexpr std::array<std::string_view, 10> NodeEvents { "started", "stopped", "shutdown_started", "paused",
+        "source_lost", "source_regained", "not_ready", "ready", "zone_lost", "zone_out" };
+    bool isNear = line.time >= subjects.first - ContextBefore && line.time <= subjects.last;
+    if (!isNear || !subjects.nodes.contains(line.node) || !line.field("flow").empty())
+        return false;
+    return subjects.upstreams.contains(line.field("upstream"))
+        || std::ranges::find(NodeEvents, line.field("event")) != NodeEvents.end();
+}
+
+static std::string explainLoss(std::string const& cause)
+{
+    static std::map<std::string, std::string, std::less<>> const Texts {
+        { "silent_requests", "requests got no answer, and probes neither" },
+        { "unanswered_open", "an opening packet got no answer, and probes neither" },
+        { "unlisted", "discovery dropped it, and it answered no probe" },
+        { "reported", "another balancer got no answer from it, and probes of this one neither" },
+        { "zone_silent", "other upstreams of its zone didn't answer, and it answered no probe" },
+        { "restarted", "its process was restarted" },
+        { "superseded", "another upstream took its address" },
+    };
+    auto text = Texts.find(cause);
+    return text == Texts.end() ? cause : text->second;
+}
+
+static std::string explainReason(LogLine const& line)
+{
+    auto reason = line.field("reason");
+    if (reason == "unknown_service")
+        return absl::StrCat("version ", line.field("version"), " has no route to this address");
+    if (reason == "unknown_token")
+        return "no upstream in discovery has the token of its packets";
+    if (reason == "upstream_gone")
+        return absl::StrCat("its upstream ", line.field("upstream"), " was lost before");
+    if (reason == "no_upstream")
+        return "no upstream of the service may get new flows";
+    if (reason == "not_synchronised")
+        return "the balancer had no routes yet";
+    return reason;
+}
+
+// What a line says of the end of its flow; empty when it ends nothing.
+static std::string explain(LogLine const& line)
+{
+    auto event = line.field("event");
+    if (event == "request_cut" || event == "flow_given_up")
+        return absl::StrCat(line.node, " reset the flow because its upstream ", line.field("upstream"),
+            " was lost: ", explainLoss(line.field("cause")), ".");
+    if (event == "flow_reset" || event == "open_refused")
+        return absl::StrCat(line.node, " answered with a reset: ", explainReason(line), ".");
+    if (event == "open_dropped" || event == "packet_dropped")
+        return absl::StrCat(line.node, " dropped the packet: ", explainReason(line), ".");
+    if (event == "answer_short")
+        return absl::StrCat("The upstream ", line.field("upstream"), " answered with ", line.field("bytes"),
+            " bytes, probably an error.");
+    if (event == "request_late")
+        return absl::StrCat("The upstream ", line.field("upstream"), " took ", line.field("ms"), " ms to answer.");
+    return {};
+}
+
+FlowTrace traceFlow(std::vector<LogLine> const& lines, std::string const& id)
+{
+    auto subjects = subjectsOf(lines, id);
+    FlowTrace trace;
+    for (auto const& line : lines) {
+        if (subjects.flows.contains(line.field("flow")) || isContext(line, subjects))
+            trace.lines.push_back(line);
+    }
+    std::ranges::stable_sort(trace.lines, {}, &LogLine::time);
+    if (subjects.flows.empty()) {
+        trace.cause = "No line names it: the lines were left out by their limit (see lines_left_out), or its packets "
+                      "reached none of these balancers.";
+        return trace;
+    }
+    for (auto const& line : trace.lines) {
+        if (auto text = explain(line); !text.empty())
+            trace.cause = std::move(text);
+    }
+    if (trace.cause.empty())
+        trace.cause
+            = "These balancers forwarded its packets and saw no failure: look at the upstream and the caller's way "
+              "to it.";
+    return trace;
+}
+
+}
--- a/Utilities/chicorytally/Tool.cpp
+++ b/Utilities/chicorytally/Tool.cpp
@@ -13,7 +13,7 @@
 static std::vector<Command> const& commands()
 {
     static std::vector<Command> const Commands { checkCommand(), showCommand(), diffCommand(), statusCommand(),
-        upstreamsCommand(), membersCommand(), explainCommand() };
+        upstreamsCommand(), membersCommand(), explainCommand(), traceCommand() };
     return Commands;
 }
 
@@ -27,7 +27,8 @@
 
 static void printHelp(std::ostream& out)
 {
-    out << "Checks and compares configurations, and asks a running chicorytallyd.\n\nusage: chicorytally COMMAND "
+    out << "Checks and compares configurations, asks a running chicorytallyd, and traces flows in logs.\n\nusage: "
+           "chicorytally COMMAND "
            "[--flag=VALUE ...]\n\n";
     for (auto const& command : commands())
         out << absl::StrFormat("  %-16s %s\n", synopsis(command), command.summary);
--- /dev/null
+++ b/Utilities/chicorytally/TraceCommand.cpp
@@ -0,0 +1,61 @@
+#include <chicorytally/Command.h>
+#include <chicorytally/FlowTrace.h>
+#include <chicorytally/JsonOutput.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+namespace Chicorytally::Tool {
+
+// The file itself, or the files of the folder by name.
+static std::vector<std::filesystem::path> filesAt(std::filesystem::path const& path)
+{
+    std::error_code error;
+    if (!std::filesystem::is_directory(path, error))
+        return { path };
+    std::vector<std::filesystem::path> files;
+    for (auto const& entry : std::filesystem::directory_iterator { path, error }) {
+        if (entry.is_regular_file(error))
+            files.push_back(entry.path());
+    }
+    std::ranges::sort(files);
+    return files;
+}
+
+static int runTrace(Invocation const& invocation)
+{
+    std::vector<LogLine> lines;
+    for (auto const& path : filesAt(invocation.operands[1])) {
+        std::ifstream file { path };
+        if (!file) {
+            invocation.err << "chicorytally: " << path.string() << ": can't be read\n";
+            return ExitFaults;
+        }
+        auto read = readLogLines(file, path.stem().string());
+        lines.insert(lines.end(), std::make_move_iterator(read.begin()), std::make_move_iterator(read.end()));
+    }
+    auto trace = traceFlow(lines, invocation.operands[0]);
+    if (invocation.isJson) {
+        auto json = Json::array();
+        for (auto const& line : trace.lines)
+            json.push_back({ { "node", line.node }, { "fields", line.fields } });
+        printJson(invocation.out, { { "lines", json }, { "cause", trace.cause } });
+    } else {
+        for (auto const& line : trace.lines)
+            invocation.out << line.node << ' ' << line.text << '\n';
+        invocation.out << "cause: " << trace.cause << '\n';
+    }
+    return trace.lines.empty() ? ExitFaults : ExitGood;
+}
+
+Command traceCommand()
+{
+    return { "trace", { "ID", "LOG" }, "Put the log lines of a flow in order, and say what ended it.",
+        "ID is a flow (CALLER-SERVICE), a caller (IP:PORT) or the id of a request. LOG is a file of lines that\n"
+        "balancers wrote, or a folder of such files. Lines of its upstreams and balancers in the 10 s before are\n"
+        "shown, too. Exits with 1 when no line names the flow.",
+        runTrace };
+}
+
+}
