Soak: Judge each balancer by its own contact, and lengthen drains and evacuations

Faults now disturb the balancers that they hit, resets are judged by who sent them, drains last 3 to 12 s and evacuations 2 to 15 s.

--- a/Tests/Soak/packets.py
+++ b/Tests/Soak/packets.py
@@ -20,6 +20,8 @@
     echo: int = 0
     data: bytes = b""
     sum: int | None = None
+    # Address that the datagram came from.
+    sender: str = ""
 
     def checksum(self) -> int:
         """Covers all that balancers must not change; never 0, which marks their own resets."""
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -45,6 +45,7 @@
         self.is_ready = False
         self.misses = 0
         self.is_expected_to_end = False
+        self.disturbed_until = 0.0
 
     def settings(self) -> dict:
         return {"node": f"n-{self.host}", "zone": self.zone, "heartbeat_ms": 600, "bounds": {"grace_s": 4},
@@ -105,7 +106,6 @@
         self.callers: list[Caller] = []
         self.balancers: list[Balancer] = []
         self.zone_out: dict[str, float] = {}
-        self.disturbed_until = 0.0
         self.version = 0
         self.identity = 0x100000 + seed
 
@@ -114,11 +114,13 @@
         self.failures.append(line)
         print(f"seed={self.seed} {line}", flush=True)
 
-    def disturb(self, seconds: float) -> None:
-        self.disturbed_until = max(self.disturbed_until, time.monotonic() + seconds + CONTACT_SECONDS)
+    def disturb(self, seconds: float, nodes: list[Balancer]) -> None:
+        """What the balancers do meanwhile, and for the time that they need to catch up, is not judged."""
+        for node in nodes:
+            node.disturbed_until = max(node.disturbed_until, time.monotonic() + seconds + CONTACT_SECONDS)
 
-    def is_calm(self) -> bool:
-        return time.monotonic() > self.disturbed_until
+    def is_calm(self, host: str) -> bool:
+        return all(time.monotonic() > node.disturbed_until for node in self.balancers if node.host == host)
 
     def note(self, is_served: bool) -> None:
         self.results.append((time.monotonic(), is_served))
@@ -132,7 +134,7 @@
         now = time.monotonic()
         if (packet.dst, packet.dport) != SERVICES[upstream.service]:
             self.fail("ROUTE", f"{upstream.key} of {upstream.service} got a flow to {packet.dst} from {node}")
-        if not self.is_calm():
+        if not self.is_calm(node):
             return
         if upstream.draining_since and now - upstream.draining_since > DRAIN_SECONDS:
             self.fail("DRAIN", f"{upstream.key} got a flow {now - upstream.draining_since:.1f} s after its drain, {node}")
@@ -140,13 +142,13 @@
         if out_since and now - out_since > EVACUATE_SECONDS:
             self.fail("EVAC", f"{upstream.key} got a flow {now - out_since:.1f} s after its zone was taken out, {node}")
 
-    def check_reset(self, flow: dict, packet: Packet) -> None:
+    def check_reset(self, flow: dict, packet: Packet, node: str) -> None:
         """A balancer's reset (sum 0) is only allowed when the flow's upstream has ended."""
-        if packet.sum != 0 or not self.is_calm():
+        if packet.sum != 0 or not self.is_calm(node):
             return
         for upstream in self.upstreams:
             if upstream.is_alive and (packet.dst, flow["port"]) in upstream.flows:
-                self.fail("FLOW", f"flow of port {flow['port']} was reset while {upstream.key} lives")
+                self.fail("FLOW", f"flow of port {flow['port']} was reset by {node} while {upstream.key} lives")
 
     def route(self, zone: str, key: tuple) -> str | None:
         """The balancer that the platform gives the packet to, by rendezvous hashing over those in rotation."""
@@ -182,13 +184,13 @@
         chosen = self.random.sample(self.balancers, self.random.choice([1, 1, 2, len(self.balancers)]))
         for node in chosen:
             node.signal(signal.SIGKILL)
-        self.disturb(1)
+        self.disturb(1, chosen)
         return f"killed {[node.host for node in chosen]}"
 
     async def terminate(self) -> str:
         node = self.random.choice(self.balancers)
         node.signal(signal.SIGTERM)
-        self.disturb(4)
+        self.disturb(4, [node])
         return f"terminated {node.host}"
 
     async def pause(self) -> str:
@@ -196,7 +198,7 @@
         seconds = self.random.uniform(0.3, 3)
         node.signal(signal.SIGSTOP)
         asyncio.get_running_loop().call_later(seconds, node.signal, signal.SIGCONT)
-        self.disturb(seconds)
+        self.disturb(seconds, [node])
         return f"paused {node.host} for {seconds:.1f} s"
 
     async def reload(self) -> str:
@@ -210,14 +212,14 @@
         for node in chosen:
             node.proxy.set_mode(mode)
             asyncio.get_running_loop().call_later(seconds, node.proxy.set_mode, "pass")
-        self.disturb(seconds)
+        self.disturb(seconds, chosen)
         return f"{mode} between the store and {[node.host for node in chosen]} for {seconds:.1f} s"
 
     async def refuse(self) -> str:
         self.store.refusal = self.random.choice([503, 429])
         seconds = self.random.uniform(0.5, 3)
         asyncio.get_running_loop().call_later(seconds, setattr, self.store, "refusal", 0)
-        self.disturb(seconds)
+        self.disturb(seconds, self.balancers)
         return f"store refuses for {seconds:.1f} s"
 
     async def compact(self) -> str:
@@ -228,7 +230,7 @@
         old = self.random.choice(self.living())
         await self.add_upstream(old.service, old.zone)
         old.drain()
-        asyncio.get_running_loop().call_later(self.random.uniform(3, 5), old.stop)
+        asyncio.get_running_loop().call_later(self.random.uniform(3, 12), old.stop)
         return f"{old.key} drains"
 
     async def crash(self) -> str:
@@ -260,7 +262,7 @@
             return "nothing"
         self.zone_out[zone] = time.monotonic()
         self.store.write(f"op/evacuate/{zone}", {})
-        asyncio.get_running_loop().call_later(self.random.uniform(2, 9), self.take_back, zone)
+        asyncio.get_running_loop().call_later(self.random.uniform(2, 15), self.take_back, zone)
         return f"zone {zone} is taken out"
 
     def take_back(self, zone: str) -> None:
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -242,6 +242,7 @@
         if packet.sum != 0 and packet.sum != packet.checksum():
             self.world.fail("MIXED", f"{self.host} got a changed packet from {sender[0]}")
         if packet.dport in self.flows:
+            packet.sender = sender[0]
             self.flows[packet.dport].put_nowait(packet)
 
     def send(self, flow: dict, flags: int, data: bytes = b"") -> None:
@@ -284,7 +285,7 @@
         if not answer:
             return False
         if answer.flags & RST:
-            self.world.check_reset(flow, answer)
+            self.world.check_reset(flow, answer, answer.sender)
             return False
         if answer.data != b"done " + data:
             self.world.fail("MIXED", f"{name} got the answer {answer.data!r}")
