LibDistribution, LibRelay: Encode a change once for all who wait for it

Followers that wait for changes after the same revision now share one batch, which is sealed once and sent without a copy for each connection. Ruled out for now: levels of relays, as the age of a view adds up over the levels.

--- a/Libraries/LibDistribution/ReplicaFeed.cpp
+++ b/Libraries/LibDistribution/ReplicaFeed.cpp
@@ -12,26 +12,34 @@
 void ReplicaFeed::request(Core::Revision after, std::chrono::milliseconds wait, Reply reply)
 {
     Waiting waiting { after, m_clock.now() + wait, std::move(reply) };
-    if (!answer(waiting))
+    Batches batches;
+    if (!answer(waiting, m_age(), batches))
         m_waiting.push_back(std::move(waiting));
 }
 
 void ReplicaFeed::tick()
 {
-    std::erase_if(m_waiting, [this](Waiting const& waiting) { return answer(waiting); });
+    if (m_waiting.empty())
+        return;
+    Batches batches;
+    auto age = m_age();
+    std::erase_if(m_waiting, [&](Waiting const& waiting) { return answer(waiting, age, batches); });
 }
 
-bool ReplicaFeed::answer(Waiting const& waiting) const
+bool ReplicaFeed::answer(Waiting const& waiting, std::optional<std::chrono::milliseconds> age, Batches& batches) const
 {
-    auto age = m_age();
     if (!age) {
-        waiting.reply(std::nullopt);
+        waiting.reply(nullptr);
         return true;
     }
     bool isDue = m_replica.completeUpTo() > waiting.after || m_clock.now() >= waiting.deadline;
-    if (isDue)
-        waiting.reply(batchAfter(waiting.after, *age));
-    return isDue;
+    if (!isDue)
+        return false;
+    auto& batch = batches[waiting.after];
+    if (!batch)
+        batch = std::make_shared<ItemBatch const>(batchAfter(waiting.after, *age));
+    waiting.reply(batch);
+    return true;
 }
 
 ItemBatch ReplicaFeed::batchAfter(Core::Revision after, std::chrono::milliseconds age) const
--- a/Libraries/LibDistribution/ReplicaFeed.h
+++ b/Libraries/LibDistribution/ReplicaFeed.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <functional>
 #include <list>
+#include <map>
+#include <memory>
 #include <optional>
 
 namespace Chicorytally::Distribution {
@@ -13,8 +15,9 @@
 /// Serves a replica to other balancers, which wait for its changes as they would at the store. Not thread-safe.
 class ReplicaFeed {
 public:
-    /// Gets the changes, or nothing when this balancer has none to offer now.
-    using Reply = std::function<void(std::optional<ItemBatch> const&)>;
+    /// Gets the changes, or nothing when this balancer has none to offer now. Those who wait for the same changes get
+    /// the same batch, so that it needs to be encoded once.
+    using Reply = std::function<void(std::shared_ptr<ItemBatch const> const&)>;
     /// How long ago this balancer knew of no newer revision; nothing when its view is too old to be passed on.
     using Age = std::function<std::optional<std::chrono::milliseconds>()>;
 
@@ -34,8 +37,10 @@
         Reply reply;
     };
 
-    /// False while the request may go on waiting.
-    bool answer(Waiting const&) const;
+    using Batches = std::map<Core::Revision, std::shared_ptr<ItemBatch const>>;
+
+    /// False while the request may go on waiting. Batches of this age are kept by the revision that they start after.
+    bool answer(Waiting const&, std::optional<std::chrono::milliseconds> age, Batches&) const;
     ItemBatch batchAfter(Core::Revision, std::chrono::milliseconds age) const;
 
     Core::Clock const& m_clock;
--- a/Libraries/LibEventLoop/HttpClient.h
+++ b/Libraries/LibEventLoop/HttpClient.h
@@ -19,6 +19,8 @@
 struct HttpResponse {
     int status { 0 };
     std::string body;
+    /// Sent by a server in place of the body, without a copy for each client.
+    std::shared_ptr<std::string const> sharedBody {};
 };
 
 enum class HttpError : std::uint8_t {
--- a/Libraries/LibEventLoop/HttpServer.cpp
+++ b/Libraries/LibEventLoop/HttpServer.cpp
@@ -66,7 +66,18 @@
 void HttpServer::send(evhttp_request* request, HttpResponse const& response)
 {
     auto* buffer = evhttp_request_get_output_buffer(request);
-    evbuffer_add(buffer, response.body.data(), response.body.size());
+    if (response.sharedBody) {
+        // Released when the last byte was sent.
+        auto* holder = new std::shared_ptr<std::string const> { response.sharedBody };
+        auto release = [](void const*, size_t, void* context) {
+            delete static_cast<std::shared_ptr<std::string const>*>(context);
+        };
+        auto const& body = *response.sharedBody;
+        if (evbuffer_add_reference(buffer, body.data(), body.size(), release, holder) != 0)
+            delete holder;
+    } else {
+        evbuffer_add(buffer, response.body.data(), response.body.size());
+    }
     evhttp_send_reply(request, response.status, nullptr, nullptr);
 }
 
--- a/Libraries/LibRelay/PeerServer.cpp
+++ b/Libraries/LibRelay/PeerServer.cpp
@@ -45,6 +45,15 @@
     absl::erase_if(m_followers, [this](auto const& entry) { return m_clock.now() - entry.second >= FollowerTimeout; });
 }
 
+std::shared_ptr<std::string const> PeerServer::sealedBatch(std::shared_ptr<Distribution::ItemBatch const> const& batch)
+{
+    if (batch != m_batch) {
+        m_batch = batch;
+        m_sealed = std::make_shared<std::string const>(Distribution::sealBatch(*batch, m_key));
+    }
+    return m_sealed;
+}
+
 void PeerServer::answer(EventLoop::HttpRequest const& request, EventLoop::HttpServer::Reply const& reply)
 {
     unsigned long long after = 0;
@@ -59,7 +68,7 @@
     auto bounded = std::min(std::chrono::milliseconds { wait }, MaxWait);
     m_feed.request(Core::Revision { after }, bounded, [this, reply](auto const& batch) {
         if (batch)
-            reply({ .status = 200, .body = Distribution::sealBatch(*batch, m_key) });
+            reply({ .status = 200, .sharedBody = sealedBatch(batch) });
         else
             reply({ .status = 503 });
     });
--- a/Libraries/LibRelay/PeerServer.h
+++ b/Libraries/LibRelay/PeerServer.h
@@ -28,12 +28,16 @@
 private:
     PeerServer(std::unique_ptr<EventLoop::HttpServer>, Core::Clock const&, Messages::PeerKey const&,
         Distribution::ReplicaFeed&);
+    std::shared_ptr<std::string const> sealedBatch(std::shared_ptr<Distribution::ItemBatch const> const&);
     void answer(EventLoop::HttpRequest const&, EventLoop::HttpServer::Reply const&);
 
     Core::Clock const& m_clock;
     std::unique_ptr<EventLoop::HttpServer> m_server;
     Messages::PeerKey m_key;
     Distribution::ReplicaFeed& m_feed;
+    /// The batch that was sealed last, which the next follower may get, too.
+    std::shared_ptr<Distribution::ItemBatch const> m_batch;
+    std::shared_ptr<std::string const> m_sealed;
     absl::flat_hash_map<Core::Endpoint, Core::TimePoint> m_followers;
 };
 
--- a/Tests/LibDistribution/TestReplicaFeed.cpp
+++ b/Tests/LibDistribution/TestReplicaFeed.cpp
@@ -21,6 +21,7 @@
     Distribution::ReplicaFeed feed { clock, replica, [this] { return age; } };
     unsigned replies { 0 };
     std::optional<ItemBatch> batch;
+    std::vector<std::shared_ptr<ItemBatch const>> sent;
 
     Fixture() { replica.applyListing({ item("a", 1), item("b", 2) }, Core::Revision { 2 }); }
 
@@ -28,7 +29,10 @@
     {
         feed.request(Core::Revision { after }, 1s, [this](auto const& result) {
             ++replies;
-            batch = result;
+            batch.reset();
+            if (result)
+                batch = *result;
+            sent.push_back(result);
         });
     }
 };
@@ -116,4 +120,18 @@
     BOOST_TEST(!Distribution::openBatch(bytes, { .sealing = key }).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FollowersOfTheSameRevisionShareABatch)
+{
+    // Guards against a relay that encodes and holds each change once for each of hundreds of followers.
+    request(2);
+    request(2);
+    request(1);
+    replica.apply(item("a", 3));
+    replica.noteComplete(Core::Revision { 3 });
+    sent.clear();
+    feed.tick();
+    BOOST_REQUIRE(sent.size() == 2U);
+    BOOST_TEST(sent[0] == sent[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/chicorytally/FlowTrace.cpp
+++ b/Utilities/chicorytally/FlowTrace.cpp
@@ -22,7 +22,8 @@
 // The word in front of the time, as collectors of several logs write it.
 static std::string lastWord(std::string_view prefix)
 {
-    std::vector<std::string> words = absl::StrSplit(absl::string_view { prefix.data(), prefix.size() }, ' ', absl::SkipWhitespace());
+    std::vector<std::string> words
+        = absl::StrSplit(absl::string_view { prefix.data(), prefix.size() }, ' ', absl::SkipWhitespace());
     return words.empty() ? std::string {} : words.back();
 }
 
