--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -131,9 +131,9 @@
 BOOST_AUTO_TEST_CASE(BalancerThatIsCutOffFindsOutFromAFewUpstreams)
 {
     // Guards against a zone whose callers are not served until opens were lost on each of hundreds of upstreams.
-    Core::ZoneId const Elsewhere { 3 };
+    Core::ZoneId const elsewhere { 3 };
     for (std::uint64_t id = 10; id < 60; ++id)
-        add(id, id % 2 == 0 ? There : Elsewhere);
+        add(id, id % 2 == 0 ? There : elsewhere);
     balancer.setZoneOut(Here, true);
     BOOST_TEST(balancer.canServe());
     auto cutOff = clock.now();
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -184,8 +184,8 @@
 BOOST_AUTO_TEST_CASE(StoreIsAskedNextAfterAPeerFailed)
 {
     // Guards against a balancer that asks one lost peer after the other while changes wait in the store.
-    Core::Endpoint const SecondPeer = *Core::Endpoint::parse("10.0.0.2:7000");
-    Distribution::StoreFollower asking { clock, { .preferredPeers = { FirstPeer, SecondPeer } }, replica, hooks() };
+    Core::Endpoint const secondPeer = *Core::Endpoint::parse("10.0.0.2:7000");
+    Distribution::StoreFollower asking { clock, { .preferredPeers = { FirstPeer, secondPeer } }, replica, hooks() };
     auto askOnce = [&] {
         auto request = nextAfterDelay(asking);
         BOOST_REQUIRE(request.has_value());
--- a/Tests/LibLoad/TestLocalChoice.cpp
+++ b/Tests/LibLoad/TestLocalChoice.cpp
@@ -120,8 +120,8 @@
     // Guards against opens that are lost on each upstream of a zone that is out of reach.
     for (std::uint64_t id = 1; id <= 20; ++id)
         add(id, There);
-    Core::ZoneId const Elsewhere { 3 };
-    add(21, Elsewhere);
+    Core::ZoneId const elsewhere { 3 };
+    add(21, elsewhere);
     for (int i = 0; i < 100; ++i)
         load.requestStarted(Core::UpstreamId { 21 });
     for (std::uint64_t id = 1; id <= 8; ++id)
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -159,10 +159,10 @@
     BOOST_TEST(unanswered == 1U);
     BOOST_TEST(lost == 1U);
 
-    Core::UpstreamId const Other { 2 };
-    liveness.suspect(Other, Suspicion::Reported, clock.now());
-    liveness.probeEnded(Other, LivenessProbe::NoAnswer);
-    liveness.probeEnded(Other, LivenessProbe::NoAnswer);
+    Core::UpstreamId const other { 2 };
+    liveness.suspect(other, Suspicion::Reported, clock.now());
+    liveness.probeEnded(other, LivenessProbe::NoAnswer);
+    liveness.probeEnded(other, LivenessProbe::NoAnswer);
     BOOST_TEST(unanswered == 1U);
     BOOST_TEST(lost == 2U);
 }
