LibBalancer: Name the zone in zone_lost

Cause: when lines of zones got names, this one was missed and went on showing the hash, while zone_regained, zone_out and zone_in name the zone; docs/OPERATIONS.md says that all do. Found by reading the change again.

Ruled out: other lines with a zone's id (none).

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -107,8 +107,8 @@
                 }
             },
         .lost =
-            [](Core::ZoneId zone) {
-                logEvent(Level::Warn, "zone_lost", { { "zone", zone.value() } });
+            [this](Core::ZoneId zone) {
+                logEvent(Level::Warn, "zone_lost", { { "zone", nameOf(zone) } });
             },
         .regained =
             [this](Core::ZoneId zone) {
