LibLoad: Reset flows of an upstream only on proof that it has ended

Cause: a single refused probe of a listed upstream counted as its end, and two unanswered ones of 150 ms as well, whatever the state of this balancer's own link.

Change: a listed upstream that refuses a probe is probed again after 200 ms and lost with the second refusal; one that is no longer listed is lost with the first, as before. If three or more listed upstreams are suspect and nobody has answered since, six unanswered probes are needed instead of two. An unlisted upstream is probed only while flows to it pass through this balancer; others have nothing to reset.

The case 'refused' of TestUpstreamLiveness expected a loss with the first refusal, which is the fault; 'one refusal', 'two refusals' and 'refusal at the connection limit' take its place, two other tests now refuse twice.

Tests: LibLoad/RefusedProbeIsRepeatedLater, SilenceOfAllUpstreamsIsDoubted, SilentUpstreamsAreLostAtOnceIfAnotherAnswers, UnlistedUpstreamWithoutFlowsIsNotProbed.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -73,6 +73,7 @@
                 ++m_counters.probes;
                 m_hooks.startProbe(id, record->entry.upstream.address);
             },
+        .hasFlows = [this](Core::UpstreamId id) { return hasFlows(id); },
         .probeUnanswered =
             [this](Core::UpstreamId id) {
                 if (m_hooks.report)
@@ -267,6 +268,8 @@
     m_liveness.probeEnded(id, isClosing ? Load::LivenessProbeResult::Closing : result);
 }
 
+bool TokenBalancer::hasFlows(Core::UpstreamId id) const { return m_load.loadOf(id).openFlows != 0; }
+
 void TokenBalancer::recordZoneAnswer(Core::UpstreamId id)
 {
     if (auto const* record = m_directory.find(id))
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -112,6 +112,7 @@
     void handleUnlisted(Directory::UpstreamRecord const&);
     void abortFlows(Core::UpstreamId, std::string_view cause);
     bool detectPause();
+    bool hasFlows(Core::UpstreamId) const;
     void recordZoneAnswer(Core::UpstreamId);
     void recordZoneProbe(Core::UpstreamId, Load::LivenessProbeResult);
 
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -63,20 +63,37 @@
 {
     auto& state = m_states[upstream];
     state.progressAt = m_clock.now();
+    m_lastAnswerAt = m_clock.now();
     if (state.liveness != Liveness::Alive)
         becomeAlive(upstream, state);
 }
 
-void UpstreamLiveness::suspect(Core::UpstreamId upstream, SuspicionReason suspicion, Core::TimePoint silentSince)
+bool UpstreamLiveness::becomeSuspect(State& state, SuspicionReason suspicion, Core::TimePoint silentSince)
 {
-    auto& state = m_states[upstream];
     bool isHeldOff = m_clock.now() < state.nextProbeAt;
     if (state.liveness != Liveness::Alive || state.progressAt > silentSince || isHeldOff)
-        return;
+        return false;
     state.liveness = Liveness::Suspect;
     state.suspicion = suspicion;
+    state.suspectSince = m_clock.now();
     state.unansweredProbes = 0;
-    startProbe(upstream, state);
+    return true;
+}
+
+bool UpstreamLiveness::suspect(Core::UpstreamId upstream, SuspicionReason suspicion, Core::TimePoint silentSince)
+{
+    auto& state = m_states[upstream];
+    if (becomeSuspect(state, suspicion, silentSince))
+        startProbe(upstream, state);
+    return state.liveness == Liveness::Suspect;
+}
+
+void UpstreamLiveness::suspectAfter(Core::UpstreamId upstream, SuspicionReason suspicion,
+    Core::TimePoint silentSince, std::chrono::milliseconds delay)
+{
+    auto& state = m_states[upstream];
+    if (becomeSuspect(state, suspicion, silentSince))
+        state.nextProbeAt = m_clock.now() + delay;
 }
 
 void UpstreamLiveness::noteUnlisted(Core::UpstreamId upstream)
@@ -84,7 +101,8 @@
     auto& state = m_states[upstream];
     state.isListed = false;
     state.nextProbeAt = m_clock.now();
-    suspect(upstream, SuspicionReason::Unlisted, m_clock.now());
+    if (m_hooks.hasFlows(upstream))
+        suspect(upstream, SuspicionReason::Unlisted, m_clock.now());
 }
 
 void UpstreamLiveness::startProbe(Core::UpstreamId upstream, State& state)
@@ -101,45 +119,56 @@
         return;
     auto& state = position->second;
     state.isProbing = false;
-    switch (result) {
-    case LivenessProbeResult::Answered: {
+    if (result != LivenessProbeResult::NoAnswer && result != LivenessProbeResult::NotMade)
+        m_lastAnswerAt = m_clock.now();
+    if (result == LivenessProbeResult::Answered) {
         bool isStalled = state.liveness == Liveness::Suspect && state.suspicion == SuspicionReason::SilentRequests;
         becomeAlive(upstream, state);
         if (isStalled && m_hooks.stalled)
             m_hooks.stalled(upstream);
         return;
     }
-    case LivenessProbeResult::NotMade:
+    if (result == LivenessProbeResult::NotMade) {
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
         return;
-    case LivenessProbeResult::Closing:
-        if (state.liveness == Liveness::Suspect && ++state.unansweredProbes < m_options.probesToConfirm) {
-            state.nextProbeAt = m_clock.now() + m_options.firstRetry;
-            return;
-        }
-        break;
-    case LivenessProbeResult::Refused:
-    case LivenessProbeResult::NoAnswer:
-        break;
     }
     if (state.liveness == Liveness::Unreachable) {
         state.retryDelay = std::min(state.retryDelay * 2, m_options.maximumRetry);
         state.nextProbeAt = m_clock.now() + state.retryDelay;
         return;
     }
-    if (state.liveness == Liveness::Alive)
-        return;
+    if (state.liveness == Liveness::Suspect)
+        handleFailedProbe(upstream, state, result);
+}
+
+void UpstreamLiveness::handleFailedProbe(Core::UpstreamId upstream, State& state, LivenessProbeResult result)
+{
     ++state.unansweredProbes;
     bool isOwnObservation
         = state.suspicion == SuspicionReason::SilentRequests || state.suspicion == SuspicionReason::UnansweredOpen;
-    if (state.unansweredProbes == 1 && isOwnObservation && m_hooks.probeUnanswered)
+    bool isClosing = result == LivenessProbeResult::Closing;
+    if (state.unansweredProbes == 1 && isOwnObservation && !isClosing && m_hooks.probeUnanswered)
         m_hooks.probeUnanswered(upstream);
-    if (result == LivenessProbeResult::Refused || state.unansweredProbes >= m_options.probesToConfirm)
+    bool isEnded = result == LivenessProbeResult::Refused && !state.isListed;
+    if (isEnded || state.unansweredProbes >= probesToConfirm(state))
         becomeUnreachable(upstream, state, result);
+    else if (isClosing)
+        state.nextProbeAt = m_clock.now() + m_options.firstRetry;
+    else if (result == LivenessProbeResult::Refused)
+        state.nextProbeAt = m_clock.now() + m_options.refusalRetry;
     else
         startProbe(upstream, state);
 }
 
+unsigned UpstreamLiveness::probesToConfirm(State const& state) const
+{
+    if (m_lastAnswerAt >= state.suspectSince || !state.isListed)
+        return m_options.probesToConfirm;
+    auto suspects = static_cast<std::size_t>(std::ranges::count_if(m_states,
+        [](auto const& entry) { return entry.second.isListed && entry.second.liveness == Liveness::Suspect; }));
+    return suspects >= m_options.suspectsForDoubt ? m_options.probesToConfirmInDoubt : m_options.probesToConfirm;
+}
+
 void UpstreamLiveness::becomeAlive(Core::UpstreamId upstream, State& state)
 {
     bool wasUnreachable = state.liveness == Liveness::Unreachable;
@@ -185,7 +214,7 @@
             = state.liveness == Liveness::Suspect || (state.isListed && state.liveness == Liveness::Unreachable);
         if (needsProbe)
             startProbe(upstream, state);
-        else if (!state.isListed && state.liveness == Liveness::Alive)
+        else if (!state.isListed && state.liveness == Liveness::Alive && m_hooks.hasFlows(upstream))
             suspect(upstream, SuspicionReason::Unlisted, m_clock.now());
     }
 }
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -25,7 +25,8 @@
 /// Result of a probe of an upstream.
 enum class LivenessProbeResult : std::uint8_t {
     Answered,
-    /// The VM is reachable, but no process listens on the port.
+    /// The VM is reachable, but the connection was reset: no process listens on the port, or the upstream has as many
+    /// connections as it accepts.
     Refused,
     /// As Refused, but the upstream is draining: it may close its listener before it has sent its last responses.
     Closing,
@@ -53,8 +54,14 @@
 std::string_view toString(SuspicionReason);
 
 struct LivenessOptions {
-    /// Number of consecutive unanswered probes that make an upstream unreachable.
+    /// Number of consecutive unanswered or refused probes that make an upstream unreachable.
     unsigned probesToConfirm { 2 };
+    /// The same if this many listed upstreams are suspect while none answers. Then this balancer's own link may have failed,
+    /// or be full for some hundred milliseconds.
+    std::size_t suspectsForDoubt { 3 };
+    unsigned probesToConfirmInDoubt { 6 };
+    /// Delay before a listed upstream that refused a probe is probed again. It may be at its connection limit.
+    std::chrono::milliseconds refusalRetry { 200 };
     /// A suspect that answered a probe isn't probed again for this long, as a slow upstream is silent without having
     /// failed.
     std::chrono::milliseconds probeHoldoff { 1000 };
@@ -67,6 +74,8 @@
 struct LivenessHooks {
     /// Starts a probe of the upstream. Its result must be passed to probeEnded().
     std::function<void(Core::UpstreamId)> startProbe;
+    /// Whether flows to the upstream pass through this balancer. An unlisted upstream is only probed for their sake.
+    std::function<bool(Core::UpstreamId)> hasFlows;
     /// A probe that was triggered by the balancer's own traffic got no answer. Called once for each suspicion.
     std::function<void(Core::UpstreamId)> probeUnanswered;
     /// The upstream answered a probe, but not the requests that triggered it.
@@ -85,10 +94,14 @@
 
     /// Records that a caller acknowledged new data of the upstream.
     void noteProgress(Core::UpstreamId);
-    /// Suspects the upstream unless it has made progress since the given time.
-    void suspect(Core::UpstreamId, SuspicionReason, Core::TimePoint silentSince);
+    /// Suspects and probes the upstream unless it has made progress since the given time or answered a probe recently.
+    /// Returns false if it isn't a suspect afterwards.
+    bool suspect(Core::UpstreamId, SuspicionReason, Core::TimePoint silentSince);
+    /// Treats the upstream as suspect and probes it after the delay, unless it has made progress since the given time.
+    void suspectAfter(Core::UpstreamId, SuspicionReason, Core::TimePoint silentSince, std::chrono::milliseconds delay);
     void probeEnded(Core::UpstreamId, LivenessProbeResult);
-    /// Records that service discovery no longer lists the upstream. It is probed until it no longer answers.
+    /// Records that service discovery no longer lists the upstream. While it has flows, it is probed until it no longer
+    /// answers.
     void noteUnlisted(Core::UpstreamId);
     /// Discards earlier evidence because service discovery lists the upstream again or its process was restarted.
     void reset(Core::UpstreamId);
@@ -106,6 +119,7 @@
         Liveness liveness { Liveness::Alive };
         SuspicionReason suspicion { SuspicionReason::SilentRequests };
         Core::TimePoint progressAt;
+        Core::TimePoint suspectSince;
         bool isProbing { false };
         bool isListed { true };
         unsigned unansweredProbes { 0 };
@@ -114,7 +128,10 @@
         std::chrono::milliseconds retryDelay { 0 };
     };
 
+    bool becomeSuspect(State&, SuspicionReason, Core::TimePoint silentSince);
     void startProbe(Core::UpstreamId, State&);
+    void handleFailedProbe(Core::UpstreamId, State&, LivenessProbeResult);
+    unsigned probesToConfirm(State const&) const;
     void becomeAlive(Core::UpstreamId, State&);
     void becomeUnreachable(Core::UpstreamId, State&, LivenessProbeResult);
 
@@ -122,6 +139,8 @@
     LivenessOptions m_options;
     LivenessHooks m_hooks;
     absl::flat_hash_map<Core::UpstreamId, State> m_states;
+    /// When any upstream last made progress, or answered or refused a probe.
+    Core::TimePoint m_lastAnswerAt;
 };
 
 }
--- a/Tests/LibLoad/TestLeastLoadedSelector.cpp
+++ b/Tests/LibLoad/TestLeastLoadedSelector.cpp
@@ -18,7 +18,7 @@
     Directory::UpstreamDirectory directory { clock, {}, {} };
     Load::UpstreamLoadCounter load;
     Load::UpstreamLiveness liveness { clock, {},
-        { .startProbe = [](auto) {}, .lost = [](auto, auto, auto) {}, .regained = [](auto) {} } };
+        { .startProbe = [](auto) {}, .hasFlows = [](auto) { return true; }, .lost = [](auto, auto, auto) {}, .regained = [](auto) {} } };
     Load::ZoneReachability zones { {},
         { .upstreamCount = [this](auto zone) { return directory.upstreamsIn(zone).size(); },
             .probeMore = [](auto, auto) {},
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -20,8 +20,10 @@
     unsigned unanswered { 0 };
     unsigned lost { 0 };
     unsigned regained { 0 };
+    bool hasFlows { true };
     Load::UpstreamLiveness liveness { clock, {},
         { .startProbe = [this](auto) { ++probes; },
+            .hasFlows = [this](auto) { return hasFlows; },
             .probeUnanswered = [this](auto) { ++unanswered; },
             .lost = [this](auto, auto, auto) { ++lost; },
             .regained = [this](auto) { ++regained; } } };
@@ -40,7 +42,10 @@
 
 ProbeCase const ProbeCases[] {
     { "answered", { LivenessProbeResult::Answered }, Liveness::Alive, 0 },
-    { "refused", { LivenessProbeResult::Refused }, Liveness::Unreachable, 1 },
+    { "one refusal", { LivenessProbeResult::Refused }, Liveness::Suspect, 0 },
+    { "two refusals", { LivenessProbeResult::Refused, LivenessProbeResult::Refused }, Liveness::Unreachable, 1 },
+    { "refusal at the connection limit", { LivenessProbeResult::Refused, LivenessProbeResult::Answered },
+        Liveness::Alive, 0 },
     { "one loss", { LivenessProbeResult::NoAnswer, LivenessProbeResult::Answered }, Liveness::Alive, 0 },
     { "two losses", { LivenessProbeResult::NoAnswer, LivenessProbeResult::NoAnswer }, Liveness::Unreachable, 1 },
     { "closing", { LivenessProbeResult::Closing }, Liveness::Suspect, 0 },
@@ -86,6 +91,7 @@
     // Guards against an upstream that stays unused after a temporary network failure.
     suspect();
     liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
     for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(50ms)) {
         auto before = probes;
         liveness.tick();
@@ -149,6 +155,73 @@
     BOOST_TEST(lost == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(RefusedProbeIsRepeatedLater)
+{
+    // Guards against resetting flows of an upstream that serves them but is at its connection limit for a moment.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    clock.advance(150ms);
+    liveness.tick();
+    BOOST_TEST(probes == 1U);
+    clock.advance(50ms);
+    liveness.tick();
+    BOOST_TEST(probes == 2U);
+    BOOST_TEST(lost == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(UnlistedUpstreamWithoutFlowsIsNotProbed)
+{
+    // Guards against a whole fleet that probes each upstream that a release has ended.
+    hasFlows = false;
+    liveness.noteUnlisted(Upstream);
+    clock.advance(5s);
+    liveness.tick();
+    BOOST_TEST(probes == 0U);
+    hasFlows = true;
+    liveness.tick();
+    BOOST_TEST(probes == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SilenceOfAllUpstreamsIsDoubted)
+{
+    // Guards against a balancer whose own link is full for some hundred milliseconds and that resets the flows of all
+    // upstreams for it.
+    auto suspectAll = [this] {
+        for (std::uint64_t id = 1; id <= 4; ++id)
+            liveness.suspect(Core::UpstreamId { id }, SuspicionReason::SilentRequests, clock.now() - 200ms);
+    };
+    auto endProbes = [this](LivenessProbeResult result) {
+        clock.advance(150ms);
+        for (std::uint64_t id = 1; id <= 4; ++id)
+            liveness.probeEnded(Core::UpstreamId { id }, result);
+    };
+    suspectAll();
+    for (int round = 0; round < 5; ++round)
+        endProbes(LivenessProbeResult::NoAnswer);
+    BOOST_TEST(lost == 0U);
+    endProbes(LivenessProbeResult::Answered);
+    BOOST_TEST(lost == 0U);
+    clock.advance(5s);
+    suspectAll();
+    for (int round = 0; round < 6; ++round)
+        endProbes(LivenessProbeResult::NoAnswer);
+    BOOST_TEST(lost == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(SilentUpstreamsAreLostAtOnceIfAnotherAnswers)
+{
+    // Guards against delayed resets when several upstreams fail together.
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        liveness.suspect(Core::UpstreamId { id }, SuspicionReason::SilentRequests, clock.now() - 200ms);
+    clock.advance(150ms);
+    liveness.noteProgress(Core::UpstreamId { 9 });
+    for (int round = 0; round < 2; ++round) {
+        for (std::uint64_t id = 1; id <= 4; ++id)
+            liveness.probeEnded(Core::UpstreamId { id }, LivenessProbeResult::NoAnswer);
+    }
+    BOOST_TEST(lost == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(OwnObservationIsReportedOnce)
 {
     // Guards against other balancers learning of a failed upstream only by losing a request, and against reports that
@@ -174,6 +247,7 @@
     // Guards against resetting flows that get responses.
     suspect();
     liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
     liveness.noteProgress(Upstream);
     BOOST_CHECK(liveness.livenessOf(Upstream) == Liveness::Alive);
     BOOST_TEST(regained == 1U);
