LibLoad: Find lost zones from a random sample, and probe less in a fleet

Change: a zone counts as unreachable if none of six upstreams answers that the balancer picks at random once two are silent. Upstreams that drain or are no longer listed are no evidence; neither is silence within 300 ms of an answer. A report makes a balancer probe at once only if it has flows to the upstream, within a second if the upstream is in its zone, and otherwise not at all. A metric counts the zones that a balancer avoids.

IsolatedBalancerDetectsIsolationFromAFewUpstreams let its callers go on after each open, which shows that the upstream answers; in a cut they can't. It now sends opens only, with the same bounds.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -1,5 +1,7 @@
 #include <LibBalancer/TokenBalancer.h>
 
+#include <algorithm>
+
 namespace Chicorytally::Balancer {
 
 using Load::Liveness;
@@ -25,7 +27,7 @@
     , m_log(clock)
     , m_directory(clock, m_options.directory, directoryHooks())
     , m_liveness(clock, m_options.liveness, livenessHooks())
-    , m_zones({}, zoneHooks())
+    , m_zones(clock, {}, zoneHooks())
     , m_failures(clock, { .self = m_options.self },
           [this](Core::UpstreamId id) {
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
@@ -34,6 +36,7 @@
           m_failures)
     , m_flows(clock, m_options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
+    , m_random(m_options.randomSeed)
     , m_lastTick(clock.now())
     , m_lastSweep(clock.now())
 {
@@ -96,17 +99,7 @@
 Load::ZoneReachabilityHooks TokenBalancer::zoneHooks()
 {
     return {
-        .upstreamCount = [this](Core::ZoneId zone) { return m_directory.upstreamsIn(zone).size(); },
-        .probeMore =
-            [this](Core::ZoneId zone, std::size_t count) {
-                for (auto const* record : m_directory.upstreamsIn(zone)) {
-                    auto id = record->entry.upstream.id;
-                    if (count == 0 || m_liveness.livenessOf(id) != Liveness::Alive)
-                        continue;
-                    m_liveness.suspect(id, Load::SuspicionReason::ZoneSilent, m_clock.now());
-                    --count;
-                }
-            },
+        .probeSample = [this](Core::ZoneId zone, std::size_t count) { return probeSample(zone, count); },
         .lost =
             [this](Core::ZoneId zone) {
                 logEvent(Level::Warn, "zone_lost", { { "zone", nameOf(zone) } });
@@ -270,6 +263,25 @@
 
 bool TokenBalancer::hasFlows(Core::UpstreamId id) const { return m_load.loadOf(id).openFlows != 0; }
 
+std::vector<Core::UpstreamId> TokenBalancer::probeSample(Core::ZoneId zone, std::size_t count)
+{
+    auto records = m_directory.upstreamsIn(zone);
+    std::ranges::shuffle(records, m_random);
+    // Suspects would bias the sample towards silence.
+    std::ranges::stable_partition(records, [this](auto const* record) {
+        return m_liveness.livenessOf(record->entry.upstream.id) == Liveness::Alive;
+    });
+    std::vector<Core::UpstreamId> sample;
+    for (auto const* record : records) {
+        auto id = record->entry.upstream.id;
+        bool isEvidence = !record->entry.upstream.isDraining() && m_liveness.livenessOf(id) != Liveness::Unreachable;
+        if (sample.size() < count && isEvidence
+            && m_liveness.suspect(id, Load::SuspicionReason::ZoneSilent, m_clock.now()))
+            sample.push_back(id);
+    }
+    return sample;
+}
+
 void TokenBalancer::recordZoneAnswer(Core::UpstreamId id)
 {
     if (auto const* record = m_directory.find(id))
@@ -281,23 +293,24 @@
     auto const* record = m_directory.find(id);
     if (!record || result == Load::LivenessProbeResult::NotMade)
         return;
-    auto zone = record->entry.upstream.zone;
-    if (result == Load::LivenessProbeResult::NoAnswer)
-        m_zones.noteSilent(zone, id);
-    else
-        m_zones.noteAnswer(zone);
+    auto const& upstream = record->entry.upstream;
+    if (result != Load::LivenessProbeResult::NoAnswer)
+        m_zones.noteAnswer(upstream.zone);
+    else if (record->isListed && !upstream.isDraining())
+        m_zones.noteSilent(upstream.zone, id);
 }
 
 void TokenBalancer::handlePeerReport(Load::PeerReport const& report)
 {
     auto id = report.upstream;
-    if (!m_directory.find(id))
+    auto const* record = m_directory.find(id);
+    if (!record)
         return;
     switch (report.kind) {
     case Load::ReportKind::Unanswered:
         logEvent(
             Level::Info, "upstream_reported", { { "upstream", nameOf(id) }, { "reporter", report.reporter.value() } });
-        m_liveness.suspect(id, Load::SuspicionReason::Reported, m_clock.now() - m_options.recentAnswerWindow);
+        suspectReported(*record);
         return;
     case Load::ReportKind::Failing:
         m_failures.notePeerReport(id, report.reporter);
@@ -305,6 +318,19 @@
     }
 }
 
+void TokenBalancer::suspectReported(Directory::UpstreamRecord const& record)
+{
+    auto id = record.entry.upstream.id;
+    auto silentSince = m_clock.now() - m_options.recentAnswerWindow;
+    if (hasFlows(id)) {
+        m_liveness.suspect(id, Load::SuspicionReason::Reported, silentSince);
+    } else if (record.entry.upstream.zone == m_options.zone) {
+        std::uniform_int_distribution<std::int64_t> delay { 0, m_options.reportProbeSpread.count() };
+        m_liveness.suspectAfter(
+            id, Load::SuspicionReason::Reported, silentSince, std::chrono::milliseconds { delay(m_random) });
+    }
+}
+
 bool TokenBalancer::detectPause()
 {
     auto elapsed = m_clock.now() - std::exchange(m_lastTick, m_clock.now());
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -14,8 +14,10 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Chicorytally::Balancer {
 
@@ -38,6 +40,9 @@
     std::chrono::milliseconds lateAnswerLimit { 500 };
     /// Another balancer's report is ignored if callers of this one got an answer from the upstream within this time.
     std::chrono::milliseconds recentAnswerWindow { 150 };
+    /// An upstream of this balancer's zone that another balancer has reported, and to which no flows pass through this
+    /// one, is probed at a random time within this span. Otherwise all balancers of the zone would probe it at once.
+    std::chrono::milliseconds reportProbeSpread { 1000 };
     /// A longer interval between two ticks means that the process was paused.
     std::chrono::milliseconds pauseLimit { 250 };
 };
@@ -97,6 +102,7 @@
     TokenBalancerCounters const& counters() const { return m_counters; }
     std::size_t flowCount() const { return m_flows.size(); }
     std::size_t unreachableCount() const { return m_liveness.unreachableCount(); }
+    std::size_t lostZoneCount() const { return m_zones.lostCount(); }
     std::size_t failingCount() const { return m_failures.failingCount(); }
 
 private:
@@ -111,8 +117,10 @@
     std::string nameOf(Core::ZoneId) const;
     void handleUnlisted(Directory::UpstreamRecord const&);
     void abortFlows(Core::UpstreamId, std::string_view cause);
+    void suspectReported(Directory::UpstreamRecord const&);
     bool detectPause();
     bool hasFlows(Core::UpstreamId) const;
+    std::vector<Core::UpstreamId> probeSample(Core::ZoneId, std::size_t count);
     void recordZoneAnswer(Core::UpstreamId);
     void recordZoneProbe(Core::UpstreamId, Load::LivenessProbeResult);
 
@@ -131,6 +139,7 @@
     Load::LeastLoadedSelector m_choice;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
+    std::mt19937_64 m_random;
     Core::TimePoint m_lastTick;
     Core::TimePoint m_lastSweep;
 };
--- a/Libraries/LibLoad/ZoneReachability.cpp
+++ b/Libraries/LibLoad/ZoneReachability.cpp
@@ -5,8 +5,10 @@
 
 namespace Chicorytally::Load {
 
-ZoneReachability::ZoneReachability(ZoneReachabilityOptions options, ZoneReachabilityHooks hooks)
-    : m_options(options)
+ZoneReachability::ZoneReachability(
+    Core::Clock const& clock, ZoneReachabilityOptions options, ZoneReachabilityHooks hooks)
+    : m_clock(clock)
+    , m_options(options)
     , m_hooks(std::move(hooks))
 {
 }
@@ -14,24 +16,23 @@
 void ZoneReachability::noteSilent(Core::ZoneId id, Core::UpstreamId upstream)
 {
     auto& zone = m_zones[id];
-    if (zone.isLost || !zone.silent.insert(upstream).second)
+    bool hasAnswered = zone.answeredAt && m_clock.now() - *zone.answeredAt < m_options.answerValidity;
+    if (zone.isLost || hasAnswered || !zone.silent.insert(upstream).second)
         return;
-    auto lostThreshold = std::clamp(m_hooks.upstreamCount(id), m_options.probeThreshold, m_options.lostThreshold);
-    if (zone.silent.size() >= lostThreshold) {
-        zone.isLost = true;
+    if (zone.silent.size() < m_options.probeThreshold)
+        return;
+    if (!zone.sample)
+        zone.sample = m_hooks.probeSample(id, m_options.sampleSize);
+    zone.isLost = std::ranges::all_of(*zone.sample, [&](auto sampled) { return zone.silent.contains(sampled); });
+    if (zone.isLost)
         m_hooks.lost(id);
-    } else if (zone.silent.size() == m_options.probeThreshold) {
-        m_hooks.probeMore(id, lostThreshold - zone.silent.size());
-    }
 }
 
 void ZoneReachability::noteAnswer(Core::ZoneId id)
 {
-    auto zone = m_zones.find(id);
-    if (zone == m_zones.end())
-        return;
-    bool wasLost = zone->second.isLost;
-    m_zones.erase(zone);
+    auto& zone = m_zones[id];
+    bool wasLost = zone.isLost;
+    zone = { .answeredAt = m_clock.now() };
     if (wasLost)
         m_hooks.regained(id);
 }
@@ -42,4 +43,10 @@
     return zone == m_zones.end() || !zone->second.isLost;
 }
 
+std::size_t ZoneReachability::lostCount() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_zones, [](auto const& entry) { return entry.second.isLost; }));
+}
+
 }
--- a/Libraries/LibLoad/ZoneReachability.h
+++ b/Libraries/LibLoad/ZoneReachability.h
@@ -5,33 +5,39 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
+#include <optional>
+#include <vector>
 
 namespace Chicorytally::Load {
 
 struct ZoneReachabilityOptions {
-    /// Number of silent upstreams at which more upstreams of their zone are probed. A single one doesn't indicate a
-    /// problem with the zone.
+    /// Number of silent upstreams at which a sample of the zone's other upstreams is probed. A single one doesn't
+    /// indicate a problem with the zone.
     std::size_t probeThreshold { 2 };
-    /// Number of silent upstreams at which the zone counts as unreachable; all of them if it has fewer.
-    std::size_t lostThreshold { 8 };
+    /// Number of upstreams in the sample. The zone counts as unreachable if none of them answers: the upstreams that
+    /// were silent before tell nothing about the others, as they may have failed together.
+    std::size_t sampleSize { 6 };
+    /// An upstream that is found silent within this time after an answer from its zone says nothing about the zone.
+    std::chrono::milliseconds answerValidity { 300 };
 };
 
 struct ZoneReachabilityHooks {
-    /// Returns the number of upstreams of the zone that may be used.
-    std::function<std::size_t(Core::ZoneId)> upstreamCount;
-    /// Probes the given number of further upstreams of the zone.
-    std::function<void(Core::ZoneId, std::size_t)> probeMore;
+    /// Probes up to the given number of upstreams of the zone, chosen at random from those that may be used and are not
+    /// known to be silent, and returns them. Balancers must choose independently, or all of them probe the same ones.
+    std::function<std::vector<Core::UpstreamId>(Core::ZoneId, std::size_t)> probeSample;
     std::function<void(Core::ZoneId)> lost;
     std::function<void(Core::ZoneId)> regained;
 };
 
 /// Detects unreachable zones from a few of their upstreams, since a balancer that is cut off would otherwise lose opens
-/// on each of hundreds of upstreams. A single answer from the zone makes it reachable again. Not thread-safe.
+/// on each of hundreds of upstreams. Upstreams that service discovery has announced to leave are no evidence and must
+/// not be passed to it. A single answer from the zone makes it reachable again. Not thread-safe.
 class ZoneReachability {
 public:
-    ZoneReachability(ZoneReachabilityOptions, ZoneReachabilityHooks);
+    ZoneReachability(Core::Clock const&, ZoneReachabilityOptions, ZoneReachabilityHooks);
 
     /// Records that a probe of the upstream got no answer.
     void noteSilent(Core::ZoneId, Core::UpstreamId);
@@ -39,14 +45,19 @@
     void noteAnswer(Core::ZoneId);
 
     bool isReachable(Core::ZoneId) const;
+    std::size_t lostCount() const;
 
 private:
     struct Zone {
         /// Upstreams without an answer since the last answer from the zone.
         absl::flat_hash_set<Core::UpstreamId> silent;
+        /// Probed upstreams, once there are enough silent ones.
+        std::optional<std::vector<Core::UpstreamId>> sample;
         bool isLost { false };
+        std::optional<Core::TimePoint> answeredAt;
     };
 
+    Core::Clock const& m_clock;
     ZoneReachabilityOptions m_options;
     ZoneReachabilityHooks m_hooks;
     absl::flat_hash_map<Core::ZoneId, Zone> m_zones;
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -139,7 +139,8 @@
     BOOST_TEST(balancer.canServe());
     auto isolatedAt = clock.now();
     for (std::uint16_t port = 1; balancer.canServe() && clock.now() - isolatedAt < 10s; ++port) {
-        openAndRequest(port);
+        // The caller gets no answer and sends nothing further.
+        balancer.decide(packet(PacketKind::Open, port));
         tickFor(50ms);
         // A probe takes 150 ms, which is three iterations of 50 ms.
         if (port % 3 == 0)
--- a/Tests/LibLoad/TestLeastLoadedSelector.cpp
+++ b/Tests/LibLoad/TestLeastLoadedSelector.cpp
@@ -17,11 +17,12 @@
     Core::ManualClock clock;
     Directory::UpstreamDirectory directory { clock, {}, {} };
     Load::UpstreamLoadCounter load;
+    /// The upstreams that are probed when others of their zone are silent.
+    std::vector<Core::UpstreamId> sample;
     Load::UpstreamLiveness liveness { clock, {},
         { .startProbe = [](auto) {}, .hasFlows = [](auto) { return true; }, .lost = [](auto, auto, auto) {}, .regained = [](auto) {} } };
-    Load::ZoneReachability zones { {},
-        { .upstreamCount = [this](auto zone) { return directory.upstreamsIn(zone).size(); },
-            .probeMore = [](auto, auto) {},
+    Load::ZoneReachability zones { clock, {},
+        { .probeSample = [this](auto, auto) { return sample; },
             .lost = [](auto) {},
             .regained = [](auto) {} } };
     Load::RequestFailureDetector failureDetector { clock, { .self = Core::VmId { 1 } }, [](auto) {} };
@@ -125,6 +126,7 @@
     add(21, elsewhere);
     for (int i = 0; i < 100; ++i)
         load.requestStarted(Core::UpstreamId { 21 });
+    sample = { Core::UpstreamId { 7 }, Core::UpstreamId { 8 } };
     for (std::uint64_t id = 1; id <= 8; ++id)
         zones.noteSilent(RemoteZone, Core::UpstreamId { id });
     BOOST_TEST(choose() == 21U);
--- a/Tests/LibLoad/TestZoneReachability.cpp
+++ b/Tests/LibLoad/TestZoneReachability.cpp
@@ -3,19 +3,29 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace Chicorytally;
+using namespace std::chrono_literals;
 
 namespace {
 
 Core::ZoneId const Zone { 1 };
 
 struct Fixture {
+    Core::ManualClock clock;
     std::size_t upstreams { 40 };
     std::size_t checks { 0 };
+    /// The first upstream that is sampled.
+    std::uint64_t nextSampled { 3 };
     unsigned lost { 0 };
     unsigned regained { 0 };
-    Load::ZoneReachability zones { {},
-        { .upstreamCount = [this](auto) { return upstreams; },
-            .probeMore = [this](auto, auto count) { checks += count; },
+    Load::ZoneReachability zones { clock, {},
+        { .probeSample =
+                [this](auto, auto count) {
+                    std::vector<Core::UpstreamId> sample;
+                    for (auto id = nextSampled; id <= upstreams && sample.size() < count; ++id)
+                        sample.emplace_back(id);
+                    checks += sample.size();
+                    return sample;
+                },
             .lost = [this](auto) { ++lost; },
             .regained = [this](auto) { ++regained; } } };
 
@@ -63,6 +73,21 @@
     BOOST_TEST(zones.isReachable(Zone));
 }
 
+BOOST_AUTO_TEST_CASE(ZoneThatAnswersIsSampledSeldom)
+{
+    // Guards against a sample for every two of the upstreams that failed together, until each of the zone's others has
+    // been probed.
+    for (std::uint64_t id = 100; id < 140; id += 2) {
+        reportSilent(id, id + 1);
+        zones.noteAnswer(Zone);
+        clock.advance(10ms);
+    }
+    BOOST_TEST(checks == 6U);
+    clock.advance(300ms);
+    reportSilent(200, 201);
+    BOOST_TEST(checks == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(OneAnswerRestoresALostZone)
 {
     // Guards against a zone that stays unused after a temporary network failure.
@@ -72,6 +97,19 @@
     BOOST_TEST(regained == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AddressesReusedInAPartOfAZoneDoNotMakeItUnreachable)
+{
+    // Guards against a zone that counts as unreachable because 17 of its 100 upstreams went dark together and were
+    // reported together, while nothing was asked of the others.
+    upstreams = 100;
+    nextSampled = 50;
+    reportSilent(1, 17);
+    BOOST_TEST(checks == 6U);
+    BOOST_TEST(zones.isReachable(Zone));
+    reportSilent(50, 55);
+    BOOST_TEST(!zones.isReachable(Zone));
+}
+
 BOOST_AUTO_TEST_CASE(SmallZoneIsLostWithAllItsUpstreams)
 {
     // Guards against a zone with fewer upstreams than the threshold that never counts as lost.
