LibRelay: Leave half of the link free while changes are relayed

Cause: a relay sends a change to all followers at once, whatever its link carries. With the large site's thin links (20 Mbit/s) a compressed configuration of 1,744 routes still fills the link for 1.5 s, and the relay's own probes and its callers' packets wait behind it.

Ruled out: choosing a relay with a wide link; the seeds are given, and all may be thin.

Change: replies to followers are limited to half of the link's rate, which the platform's settings name. A reply that has to wait is made when it is sent, so that it holds the newest changes and tells their true age.

Tests: LibDistribution/RelayBehindAThinLinkLeavesHalfOfItFree, DelayedReplyHoldsTheNewestChanges, Platform/FieldsAreParsed.

--- a/Libraries/LibDistribution/Distribution.h
+++ b/Libraries/LibDistribution/Distribution.h
@@ -11,3 +11,4 @@
 #include <LibDistribution/Options.h>
 #include <LibDistribution/ReplicaFeed.h>
 #include <LibDistribution/StoreFollower.h>
+#include <LibDistribution/TokenBucket.h>
--- a/Libraries/LibDistribution/ItemReplica.cpp
+++ b/Libraries/LibDistribution/ItemReplica.cpp
@@ -30,7 +30,7 @@
     m_byRevision.erase({ version.revision, item.key });
     bool isPatchable = wasPresent && item.value && item.value->size() >= MinimumPatchedSize;
     auto previousValue = isPatchable ? std::move(version.value) : std::nullopt;
-    version = { item.value, item.revision, std::move(previousValue), version.revision };
+    version = { item.value, item.revision, std::move(previousValue), version.revision, std::nullopt };
     m_byRevision.emplace(item.revision, item.key);
     if (!item.value) {
         ++m_tombstoneCount;
@@ -61,8 +61,9 @@
     bool isBaseKnown = version.previousValue && version.previousRevision <= revision && revision < version.revision;
     if (!isBaseKnown)
         return std::nullopt;
-    return ItemPatch { key, version.revision, version.previousRevision,
-        compress(*version.value, *version.previousValue) };
+    if (!version.patch)
+        version.patch = compress(*version.value, *version.previousValue);
+    return ItemPatch { key, version.revision, version.previousRevision, *version.patch };
 }
 
 void ItemReplica::applyListing(std::vector<Item> const& items, Core::Revision asOf)
--- a/Libraries/LibDistribution/ItemReplica.h
+++ b/Libraries/LibDistribution/ItemReplica.h
@@ -71,6 +71,8 @@
         /// The value before this one, kept for patches of large values.
         std::optional<std::string> previousValue;
         Core::Revision previousRevision;
+        /// The patch from the previous value, once it was needed.
+        mutable std::optional<std::string> patch;
     };
 
     void pruneTombstones();
--- a/Libraries/LibDistribution/ReplicaFeed.cpp
+++ b/Libraries/LibDistribution/ReplicaFeed.cpp
@@ -2,10 +2,12 @@
 
 namespace Chicorytally::Distribution {
 
-ReplicaFeed::ReplicaFeed(Core::Clock const& clock, ItemReplica const& replica, AgeProvider age)
+ReplicaFeed::ReplicaFeed(
+    Core::Clock const& clock, ItemReplica const& replica, AgeProvider age, AdmissionHook maySend)
     : m_clock(clock)
     , m_replica(replica)
     , m_ageProvider(std::move(age))
+    , m_maySend(std::move(maySend))
 {
 }
 
@@ -35,7 +37,7 @@
         return true;
     }
     bool isDue = m_replica.completeUpTo() > pending.after || m_clock.now() >= pending.deadline;
-    if (!isDue)
+    if (!isDue || !m_maySend())
         return false;
     auto& batch = batches[{ pending.after, pending.encoding }];
     if (!batch)
--- a/Libraries/LibDistribution/ReplicaFeed.h
+++ b/Libraries/LibDistribution/ReplicaFeed.h
@@ -23,9 +23,13 @@
     /// too old to be relayed.
     using AgeProvider = std::function<std::optional<std::chrono::milliseconds>()>;
 
-    ReplicaFeed(Core::Clock const&, ItemReplica const&, AgeProvider);
+    /// Returns false while no further replies should be sent. Requests that are due then keep waiting, and get the
+    /// changes that are newest when they are answered.
+    using AdmissionHook = std::function<bool()>;
 
-    /// Replies as soon as there is a change after the revision, or when the wait has passed.
+    ReplicaFeed(Core::Clock const&, ItemReplica const&, AgeProvider, AdmissionHook maySend);
+
+    /// Replies as soon as there is a change after the revision, or when the wait has passed, and sending is allowed.
     void request(Core::Revision after, std::chrono::milliseconds wait, BatchEncoding, Reply);
     /// Replies to the pending requests that are due. To be called after changes and every 50 ms. If the view has become
     /// too old, replies to all pending requests with null.
@@ -51,6 +55,7 @@
     Core::Clock const& m_clock;
     ItemReplica const& m_replica;
     AgeProvider m_ageProvider;
+    AdmissionHook m_maySend;
     std::list<PendingRequest> m_pendingRequests;
 };
 
--- a/Libraries/LibDistribution/TokenBucket.h
+++ b/Libraries/LibDistribution/TokenBucket.h
@@ -11,7 +11,7 @@
 class TokenBucket {
 public:
     /// The capacity of the bucket is the number of bytes that the rate allows during the burst time. It starts full.
-    TokenBucket(std::uint32_t bytesPerSecond, std::chrono::milliseconds burst)
+    TokenBucket(double bytesPerSecond, std::chrono::milliseconds burst)
         : m_bytesPerSecond(bytesPerSecond)
         , m_capacity(bytesPerSecond * std::chrono::duration<double> { burst }.count())
         , m_availableBytes(m_capacity)
@@ -20,18 +20,36 @@
 
     bool tryConsume(double bytes, Core::TimePoint now)
     {
-        if (m_refilledAt != Core::TimePoint {}) {
-            auto elapsedSeconds = std::chrono::duration<double> { now - m_refilledAt }.count();
-            m_availableBytes = std::min(m_capacity, m_availableBytes + elapsedSeconds * m_bytesPerSecond);
-        }
-        m_refilledAt = now;
+        refill(now);
         if (m_availableBytes < bytes)
             return false;
         m_availableBytes -= bytes;
         return true;
     }
 
+    /// Consumes the bytes even if the bucket holds fewer. Returns to full after the time that the rate takes for them.
+    void overdraw(double bytes, Core::TimePoint now)
+    {
+        refill(now);
+        m_availableBytes -= bytes;
+    }
+
+    bool isOverdrawn(Core::TimePoint now)
+    {
+        refill(now);
+        return m_availableBytes < 0;
+    }
+
 private:
+    void refill(Core::TimePoint now)
+    {
+        if (m_refilledAt != Core::TimePoint {}) {
+            auto elapsedSeconds = std::chrono::duration<double> { now - m_refilledAt }.count();
+            m_availableBytes = std::min(m_capacity, m_availableBytes + elapsedSeconds * m_bytesPerSecond);
+        }
+        m_refilledAt = now;
+    }
+
     double m_bytesPerSecond;
     double m_capacity;
     double m_availableBytes;
--- a/Libraries/LibRelay/PeerServer.cpp
+++ b/Libraries/LibRelay/PeerServer.cpp
@@ -16,20 +16,23 @@
 static constexpr std::chrono::seconds FollowerTimeout { 3 };
 
 std::unique_ptr<PeerServer> PeerServer::create(EventLoop::Loop& loop, Core::Clock const& clock,
-    Core::Endpoint const& endpoint, Messages::PeerKey const& key, Distribution::ReplicaFeed& feed, std::string& error)
+    Core::Endpoint const& endpoint, Messages::PeerKey const& key, Distribution::ReplicaFeed& feed, SentHook sentHook,
+    std::string& error)
 {
     auto server = EventLoop::HttpServer::create(loop, endpoint, error);
     if (!server)
         return nullptr;
-    return std::unique_ptr<PeerServer> { new PeerServer { std::move(server), clock, key, feed } };
+    return std::unique_ptr<PeerServer> { new PeerServer {
+        std::move(server), clock, key, feed, std::move(sentHook) } };
 }
 
 PeerServer::PeerServer(std::unique_ptr<EventLoop::HttpServer> server, Core::Clock const& clock,
-    Messages::PeerKey const& key, Distribution::ReplicaFeed& feed)
+    Messages::PeerKey const& key, Distribution::ReplicaFeed& feed, SentHook sentHook)
     : m_clock(clock)
     , m_server(std::move(server))
     , m_key(key)
     , m_feed(feed)
+    , m_sentHook(std::move(sentHook))
 {
     m_server->addDeferredRoute("/changes", [this](auto const& request, auto const& reply) { answer(request, reply); });
 }
@@ -72,10 +75,13 @@
     m_followers.insert_or_assign(Core::Endpoint { request.client, port }, m_clock.now());
     auto boundedWait = std::min(std::chrono::milliseconds { wait }, MaximumWait);
     m_feed.request(Core::Revision { after }, boundedWait, encoding, [this, reply](auto const& batch) {
-        if (batch)
-            reply({ .status = 200, .sharedBody = sealedBatch(batch) });
-        else
+        if (!batch) {
             reply({ .status = 503 });
+            return;
+        }
+        auto sealed = sealedBatch(batch);
+        m_sentHook(sealed->size());
+        reply({ .status = 200, .sharedBody = std::move(sealed) });
     });
 }
 
--- a/Libraries/LibRelay/PeerServer.h
+++ b/Libraries/LibRelay/PeerServer.h
@@ -6,6 +6,8 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,9 +19,12 @@
 /// requesting balancer receives datagrams. Without an encoding, the batch is sent in plain form.
 class PeerServer {
 public:
+    /// Called with the size of each batch that is sent.
+    using SentHook = std::function<void(std::size_t bytes)>;
+
     /// Returns null and sets the error if the endpoint can't be bound.
     static std::unique_ptr<PeerServer> create(EventLoop::Loop&, Core::Clock const&, Core::Endpoint const&,
-        Messages::PeerKey const&, Distribution::ReplicaFeed&, std::string& error);
+        Messages::PeerKey const&, Distribution::ReplicaFeed&, SentHook, std::string& error);
 
     /// The datagram endpoints of the balancers that sent a request within the last 3 s.
     std::vector<Core::Endpoint> followers() const;
@@ -28,7 +33,7 @@
 
 private:
     PeerServer(std::unique_ptr<EventLoop::HttpServer>, Core::Clock const&, Messages::PeerKey const&,
-        Distribution::ReplicaFeed&);
+        Distribution::ReplicaFeed&, SentHook);
     std::shared_ptr<std::string const> sealedBatch(std::shared_ptr<Distribution::ItemBatch const> const&);
     void answer(EventLoop::HttpRequest const&, EventLoop::HttpServer::ResponseCallback const&);
 
@@ -36,6 +41,7 @@
     std::unique_ptr<EventLoop::HttpServer> m_server;
     Messages::PeerKey m_key;
     Distribution::ReplicaFeed& m_feed;
+    SentHook m_sentHook;
     /// The batch that was encoded last. It is cached because followers of the same revision get the same batch.
     std::shared_ptr<Distribution::ItemBatch const> m_lastBatch;
     std::shared_ptr<std::string const> m_lastSealedBatch;
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -13,6 +13,11 @@
 // Maximum age of a view that is relayed. An older view means that the watch that should have refreshed it is overdue.
 static constexpr milliseconds MaximumRelayAge { 1300 };
 
+// Probes of upstreams must be answered within 150 ms, also while a large change is relayed to hundreds of followers.
+static constexpr double RelayedLinkShare = 0.5;
+// Followers that wait for the allowance are answered at the next tick.
+static constexpr milliseconds RelayBurst { 50 };
+
 SourceOrder orderSources(Core::Endpoint const& self, std::vector<Core::Endpoint> seeds)
 {
     std::ranges::sort(seeds);
@@ -57,7 +62,8 @@
 {
     std::unique_ptr<Subscription> subscription { new Subscription { loop, clock, options, std::move(hooks) } };
     subscription->m_server
-        = PeerServer::create(loop, clock, options.address, options.keys.sealing, subscription->m_feed, error);
+        = PeerServer::create(loop, clock, options.address, options.keys.sealing, subscription->m_feed,
+            [self = subscription.get()](auto bytes) { self->noteRelayed(bytes); }, error);
     if (!subscription->m_server)
         return nullptr;
     PeerMessengerOptions messengerOptions { options.address, options.self, options.incarnation, options.keys };
@@ -71,7 +77,11 @@
     : m_hooks(std::move(hooks))
     , m_replica([this](Distribution::Item const& item) { m_hooks.itemChanged(item); })
     , m_follower(clock, followerOptions(options), m_replica, followerHooks())
-    , m_feed(clock, m_replica, [this] { return relayableAge(); })
+    , m_clock(clock)
+    , m_relayAllowance(RelayedLinkShare * options.linkBytesPerSecond, RelayBurst)
+    , m_feed(
+          clock, m_replica, [this] { return relayableAge(); },
+          [this] { return !m_relayAllowance.isOverdrawn(m_clock.now()); })
     , m_reader(loop, options.keys, options.address.port)
     , m_relays(options.seeds)
     , m_exchange(clock, { .self = options.self }, exchangeHooks())
@@ -136,6 +146,11 @@
     m_server->removeExpiredFollowers();
 }
 
+void Subscription::noteRelayed(std::size_t bytes)
+{
+    m_relayAllowance.overdraw(static_cast<double>(bytes), m_clock.now());
+}
+
 std::optional<milliseconds> Subscription::relayableAge() const
 {
     auto age = m_follower.age();
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -27,6 +27,8 @@
     /// The balancers in the settings that may act as relays. They may include this one.
     std::vector<Core::Endpoint> seeds;
     Messages::KeyRing keys;
+    /// Capacity of this balancer's network link; half of it is used for relaying changes.
+    double linkBytesPerSecond { 125e6 };
     std::uint64_t randomSeed { 0 };
 };
 
@@ -78,11 +80,15 @@
     void finishRequest(bool isPeer, std::optional<Distribution::StoreAnswer> const&, Distribution::StoreFailure,
         std::string const& cause);
     std::optional<std::chrono::milliseconds> relayableAge() const;
+    void noteRelayed(std::size_t bytes);
 
     SubscriptionHooks m_hooks;
     SubscriptionCounters m_counters;
     Distribution::ItemReplica m_replica;
     Distribution::StoreFollower m_follower;
+    Core::Clock const& m_clock;
+    /// Bytes that may be relayed, so that probes and callers' packets don't wait in a full link.
+    Distribution::TokenBucket m_relayAllowance;
     Distribution::ReplicaFeed m_feed;
     PeerReader m_reader;
     std::unique_ptr<PeerServer> m_server;
--- a/Tests/LibDistribution/TestLargeConfiguration.cpp
+++ b/Tests/LibDistribution/TestLargeConfiguration.cpp
@@ -41,7 +41,10 @@
     Core::ManualClock clock;
     Messages::PeerKey key { *Messages::PeerKey::fromHex(std::string(64, 'a')) };
     Distribution::ItemReplica relay { [](Item const&) {} };
-    Distribution::ReplicaFeed feed { clock, relay, [] { return 10ms; } };
+    Distribution::ReplicaFeed feed { clock, relay, [] { return 10ms; },
+        [this] { return !allowance || !allowance->isOverdrawn(clock.now()); } };
+    /// Limits the replies of the relay if set.
+    std::optional<Distribution::TokenBucket> allowance;
     Distribution::ItemReplica follower { [this](Item const& item) { followerValue = *item.value; } };
     std::string followerValue;
 
@@ -117,6 +120,33 @@
     BOOST_TEST(seconds < 0.2);
 }
 
+BOOST_AUTO_TEST_CASE(RelayBehindAThinLinkLeavesHalfOfItFree)
+{
+    // Guards against a relay with a link of 20 Mbit/s whose probes and packets wait behind a large configuration.
+    constexpr double bytesPerSecond = 20e6 / 8;
+    allowance.emplace(bytesPerSecond / 2, 50ms);
+    write(configuration(1744, 4000, 1), 6);
+    std::size_t answered = 0;
+    double sentBytes = 0;
+    for (std::size_t i = 0; i < Followers; ++i) {
+        feed.request(Core::Revision { 5 }, 1s, BatchEncoding::Compressed, [&](auto const& batch) {
+            auto size = static_cast<double>(Distribution::sealBatch(*batch, key).size());
+            allowance->overdraw(size, clock.now());
+            sentBytes += size;
+            ++answered;
+        });
+    }
+    auto largest = sentBytes / static_cast<double>(answered);
+    auto start = clock.now();
+    while (answered < Followers && clock.now() - start < 6s) {
+        clock.advance(50ms);
+        feed.tick();
+        std::chrono::duration<double> elapsed = clock.now() - start;
+        BOOST_TEST(sentBytes <= bytesPerSecond / 2 * (elapsed.count() + 0.05) + largest);
+    }
+    BOOST_TEST(answered == Followers);
+}
+
 BOOST_AUTO_TEST_CASE(FollowerThatMissedAVersionGetsTheWholeValue)
 {
     // Guards against a patch for a value that the follower never had.
--- a/Tests/LibDistribution/TestReplicaFeed.cpp
+++ b/Tests/LibDistribution/TestReplicaFeed.cpp
@@ -18,7 +18,8 @@
     Core::ManualClock clock;
     std::optional<std::chrono::milliseconds> age { 10ms };
     Distribution::ItemReplica replica { [](Item const&) {} };
-    Distribution::ReplicaFeed feed { clock, replica, [this] { return age; } };
+    Distribution::ReplicaFeed feed { clock, replica, [this] { return age; }, [this] { return maySend; } };
+    bool maySend { true };
     Distribution::BatchEncoding encoding { Distribution::BatchEncoding::Plain };
     unsigned replies { 0 };
     std::optional<ItemBatch> batch;
@@ -93,6 +94,22 @@
     BOOST_TEST(!batch.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(DelayedReplyHoldsTheNewestChanges)
+{
+    // Guards against a reply that waited for the link and claims to be as fresh as when it became due.
+    maySend = false;
+    request(1);
+    BOOST_TEST(replies == 0U);
+    replica.apply(item("a", 3));
+    replica.markCompleteUpTo(Core::Revision { 3 });
+    age = 400ms;
+    maySend = true;
+    feed.tick();
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(batch->completeUpTo.value() == 3U);
+    BOOST_CHECK(batch->age == 400ms);
+}
+
 BOOST_AUTO_TEST_CASE(BatchIsUnchangedByEncodingAndDecoding)
 {
     // Guards against removals and binary values that are altered by encoding and decoding.
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -17,7 +17,7 @@
         "node": "front-a-1", "zone": "a", "zones": {"a": "r", "b": "r"},
         "listen": {"packet_addr": "10.1.0.10:8172", "ready": "10.1.0.10:8167"},
         "internal_ports": [7720, 7735], "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
-        "limits": {"memory_mb": 260}, "heartbeat_ms": 1200, "bounds": {"grace_s": 6},
+        "limits": {"memory_mb": 260, "link_mbps": 200.0}, "heartbeat_ms": 1200, "bounds": {"grace_s": 6},
         "platform": {"addr": "10.200.1.7:8169"}, "unknown": [1, 2]})");
 }
 
@@ -38,6 +38,7 @@
     BOOST_TEST(parsed->seeds.size() == 2U);
     BOOST_CHECK(parsed->upstreamHeartbeat == 1200ms);
     BOOST_CHECK(parsed->shutdownGrace == 6s);
+    BOOST_TEST(parsed->linkBytesPerSecond.value() == 25e6);
 }
 
 BOOST_AUTO_TEST_CASE(MissingFieldIsNamedInTheError)
