LibDistribution: Don't read the store from the whole fleet while the seeds can't

Cause: when the store refuses the seed that reads it, the seed answers its followers that its view is stale. Each of them then called the store itself, up to once a second in the outage, and did so for up to 8 s after it, until the backoff of the seeds ended.

Change: a seed that answers that its view is stale is asked again after 0.2 to 1 s. Meanwhile a balancer that serves no followers calls the store only once its view is 2 s old, and at longer intervals if the store refuses it. A seed that doesn't answer at all is still replaced by the store at once, as two may fail together.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -1,6 +1,7 @@
 #include <LibDistribution/StoreFollower.h>
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace Chicorytally::Distribution {
@@ -42,9 +43,27 @@
         m_sources.push_back({ .peer = peer });
 }
 
+bool StoreFollower::isStalePeer(Source const& source)
+{
+    return source.peer && source.failures != 0
+        && (source.failure == StoreFailure::Refused || source.failure == StoreFailure::Stale);
+}
+
+bool StoreFollower::isHoldoffActive() const
+{
+    auto preferred = std::span { m_sources }.first(m_storeIndex);
+    return m_options.storeHoldoffAge.count() != 0 && std::ranges::any_of(preferred, isStalePeer);
+}
+
+Core::TimePoint StoreFollower::availableAt(Source const& source) const
+{
+    bool isHeldOff = !source.peer && !m_isListing && m_syncedAt && isHoldoffActive();
+    return isHeldOff ? std::max(source.backoffUntil, *m_syncedAt + m_options.storeHoldoffAge) : source.backoffUntil;
+}
+
 StoreFollower::Source& StoreFollower::selectSource()
 {
-    auto isAvailable = [this](Source const& source) { return source.backoffUntil <= m_clock.now(); };
+    auto isAvailable = [this](Source const& source) { return availableAt(source) <= m_clock.now(); };
     // A listing is read from the store because it takes only one call and peers that started at the same time have no
     // data yet. After a peer failed, the store comes first because the next peer may have failed with it, and the view
     // has already aged by a whole watch.
@@ -54,7 +73,7 @@
     auto available = std::ranges::find_if(m_sources, isAvailable);
     if (available != m_sources.end())
         return *available;
-    return *std::ranges::min_element(m_sources, {}, &Source::backoffUntil);
+    return *std::ranges::min_element(m_sources, {}, [this](Source const& source) { return availableAt(source); });
 }
 
 std::optional<StoreRequest> StoreFollower::nextRequest()
@@ -62,8 +81,8 @@
     if (m_requestedSource || m_clock.now() < m_nextRequestAt)
         return std::nullopt;
     auto& source = selectSource();
-    if (source.backoffUntil > m_clock.now()) {
-        m_nextRequestAt = source.backoffUntil;
+    if (auto time = availableAt(source); time > m_clock.now()) {
+        m_nextRequestAt = time;
         return std::nullopt;
     }
     m_requestedSource = &source;
@@ -155,9 +174,10 @@
 
 void StoreFollower::recordFailure(Source& source, StoreFailure failure)
 {
-    m_hasPeerFailed = source.peer.has_value();
+    source.failure = failure;
     if (source.failures++ == 0 && m_hooks.sourceLost)
         m_hooks.sourceLost(source.peer, failure);
+    m_hasPeerFailed = source.peer && !isStalePeer(source);
     source.backoffUntil = m_clock.now() + backoffOf(source);
     m_nextRequestAt = m_clock.now();
 }
@@ -165,8 +185,18 @@
 milliseconds StoreFollower::backoffOf(Source const& source)
 {
     static constexpr unsigned MaxDoublings = 10;
-    auto first = source.peer ? m_options.initialPeerBackoff : m_options.initialStoreBackoff;
-    auto maximum = source.peer ? m_options.maximumPeerBackoff : m_options.maximumStoreBackoff;
+    auto first = m_options.initialStoreBackoff;
+    auto maximum = m_options.maximumStoreBackoff;
+    if (isStalePeer(source)) {
+        first = m_options.initialStalePeerBackoff;
+        maximum = m_options.maximumStalePeerBackoff;
+    } else if (source.peer) {
+        first = m_options.initialPeerBackoff;
+        maximum = m_options.maximumPeerBackoff;
+    } else if (isHoldoffActive()) {
+        first = m_options.initialHoldoffBackoff;
+        maximum = m_options.maximumHoldoffBackoff;
+    }
     auto backoff = std::min(first * (1U << std::min(source.failures - 1, MaxDoublings)), maximum);
     std::uniform_real_distribution<double> jitter { 0.5, 1.0 };
     return std::chrono::duration_cast<milliseconds>(backoff * jitter(m_random));
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -87,9 +87,20 @@
     /// Delay after the first failure of the store. It doubles with each further failure, up to the maximum.
     std::chrono::milliseconds initialStoreBackoff { 100 };
     std::chrono::milliseconds maximumStoreBackoff { 1000 };
-    /// The same for a peer. The delays are longer because other sources can replace a peer.
+    /// The same for a peer that doesn't answer. The delays are longer because other sources can replace a peer, and each
+    /// attempt may take until its timeout.
     std::chrono::milliseconds initialPeerBackoff { 1000 };
     std::chrono::milliseconds maximumPeerBackoff { 8000 };
+    /// The same for a peer that answers that its own view is stale. It costs one round trip to ask it again.
+    std::chrono::milliseconds initialStalePeerBackoff { 200 };
+    std::chrono::milliseconds maximumStalePeerBackoff { 1000 };
+    /// While a preferred peer answers that its view is stale, the store has most likely failed for it, and the peers
+    /// will try again. The store is then only called if the replica is older than this, so that it doesn't get calls
+    /// from the whole fleet. Zero for the balancers that others follow.
+    std::chrono::milliseconds storeHoldoffAge { 0 };
+    /// The delays after failures of the store during such a holdoff.
+    std::chrono::milliseconds initialHoldoffBackoff { 2000 };
+    std::chrono::milliseconds maximumHoldoffBackoff { 4000 };
     std::uint64_t randomSeed { 0 };
 };
 
@@ -124,6 +135,8 @@
     struct Source {
         std::optional<Core::Endpoint> peer;
         unsigned failures { 0 };
+        /// The last failure; valid if there were any since the last answer.
+        StoreFailure failure { StoreFailure::Unreachable };
         Core::TimePoint backoffUntil;
     };
 
@@ -133,6 +146,10 @@
     bool applyChanges(StoreAnswer const&);
     void recordFailure(Source&, StoreFailure);
     std::chrono::milliseconds backoffOf(Source const&);
+    static bool isStalePeer(Source const&);
+    /// Whether a preferred peer answers but has a stale view, and this balancer doesn't serve others.
+    bool isHoldoffActive() const;
+    Core::TimePoint availableAt(Source const&) const;
 
     Core::Clock const& m_clock;
     FollowerOptions m_options;
@@ -144,7 +161,7 @@
     std::size_t m_storeIndex;
     /// The source of the request in flight, if any.
     Source* m_requestedSource { nullptr };
-    /// Whether the last request that ended went to a peer and failed.
+    /// Whether the last request that ended went to a peer, which didn't answer it.
     bool m_hasPeerFailed { false };
     /// Whether a listing is needed, so that the next request to the store reads a page.
     bool m_isListing { true };
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -18,6 +18,10 @@
 // Followers that wait for the allowance are answered at the next tick.
 static constexpr milliseconds RelayBurst { 50 };
 
+// A view of this age plus the round trips to the seeds and the store stays within 3 s, the shortest time in which drains
+// and routes must be in force.
+static constexpr milliseconds StoreHoldoffAge { 2000 };
+
 SourceOrder orderSources(Core::Endpoint const& self, std::vector<Core::Endpoint> seeds)
 {
     std::ranges::sort(seeds);
@@ -33,7 +37,9 @@
 static Distribution::FollowerOptions followerOptions(SubscriptionOptions const& options)
 {
     auto order = orderSources(options.address, options.seeds);
+    bool isSeed = std::ranges::find(options.seeds, options.address) != options.seeds.end();
     Distribution::FollowerOptions result;
+    result.storeHoldoffAge = isSeed ? milliseconds { 0 } : StoreHoldoffAge;
     result.preferredPeers = std::move(order.preferred);
     result.fallbackPeers = std::move(order.fallback);
     result.randomSeed = options.randomSeed;
