Meta: Keep the output of the build and show its last lines on failure

Cause: Meta/run.sh and Meta/test.sh sent the build's output to nowhere or mixed it with the tests', so that a failed start showed neither a cause nor a file.

Change: Meta/build.sh keeps the output in build/build.log, shows progress, and on failure the last lines and the file's name. Both scripts use it. Not run: ten fresh clones beside load; one build takes about seven minutes there.

--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -6,6 +6,5 @@
 cd "$(dirname "$0")/.."
 
 Meta/setup.sh
-cmake -S . -B build -G Ninja >/dev/null
-cmake --build build >/dev/null
+Meta/build.sh
 exec python3 Meta/example_run.py "$@"
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -5,8 +5,7 @@
 cd "$(dirname "$0")/.."
 
 Meta/setup.sh
-cmake -S . -B build -G Ninja >/dev/null
-cmake --build build
+Meta/build.sh
 Meta/lint.sh
 
 # What the platform builds, as it builds it: from what is committed, without tests.
