LibDistribution: Ask for a listing without a wait

Ruled out: the store (seeds list it in 35 ms), the holdoffs (60 and 200 ms).

Change: a request for a listing has no wait, so that its timeout is 150 ms. Test: StartingBalancerListsFromAPeer.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -113,8 +113,9 @@
             ListRequest { m_listedItems.empty() ? std::string {} : m_listedItems.back().key } };
     // A peer answers a watch from the invalid revision immediately with a complete listing.
     auto after = m_isListing ? Core::Revision {} : m_replica.completeUpTo();
-    // A source that failed before must answer immediately, so that another failure is noticed before the view ages.
-    auto wait = source.failures == 0 ? m_options.watchWait : milliseconds { 0 };
+    // A listing never waits. A source that failed before must answer immediately, so that another failure is noticed
+    // before the view ages.
+    auto wait = source.failures == 0 && !m_isListing ? m_options.watchWait : milliseconds { 0 };
     return StoreRequest { source.peer, WatchRequest { after, wait } };
 }
 
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -288,6 +288,8 @@
     BOOST_REQUIRE(request.has_value());
     BOOST_REQUIRE(request->peer.has_value());
     BOOST_TEST(!std::get<WatchRequest>(request->call).after.isValid());
+    // A seed without power doesn't answer; the store must be asked before TCP sends its first packet again after 1 s.
+    BOOST_TEST(std::get<WatchRequest>(request->call).wait.count() == 0);
     starting.handleAnswer({ .items = { item("a", 1) }, .isListing = true, .asOf = Core::Revision { 10 } });
     BOOST_TEST(changes == 1U);
     request = nextAfterDelay(starting);
