LibDistribution: Keep the pages of a listing together at the start

Cause: a starting balancer that had read the first page of the store's listing asked a seed again before the second one. If the seed didn't answer, the first page was discarded and the listing began anew.

Change: a balancer that has begun to list the store goes on with it. A seed has 50 ms to answer instead of 150 ms, since its VM may have no power yet.

Test: LibDistribution/StoreIsListedSoonIfNoPeerCanHelp goes on to the second page.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -52,7 +52,7 @@
 
 bool StoreFollower::isStartingFromPeers() const
 {
-    return !m_syncedAt && m_storeIndex != 0 && m_options.listingHoldoff.count() != 0;
+    return !m_syncedAt && m_listedItems.empty() && m_storeIndex != 0 && m_options.listingHoldoff.count() != 0;
 }
 
 bool StoreFollower::hasStalePeer() const
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -106,7 +106,7 @@
     /// at once, and the peers would wait behind them. Zero to list from the store at once.
     std::chrono::milliseconds listingHoldoff { 0 };
     /// The same if no peer answers. They may start at the same time.
-    std::chrono::milliseconds unansweredListingHoldoff { 60 };
+    std::chrono::milliseconds unansweredListingHoldoff { 50 };
     /// Delay before a peer without a listing is asked again. Doubles up to the maximum for a stale peer.
     std::chrono::milliseconds listingRetry { 30 };
     std::uint64_t randomSeed { 0 };
@@ -148,7 +148,7 @@
         Core::TimePoint backoffUntil;
     };
 
-    /// Whether this balancer has no view yet and should get its first one from a peer.
+    /// Whether this balancer has no view yet, has not begun to list the store, and should get a listing from a peer.
     bool isStartingFromPeers() const;
     Source& selectSource();
     void applyPage(StoreAnswer const&);
--- a/Libraries/LibRelay/PeerReader.cpp
+++ b/Libraries/LibRelay/PeerReader.cpp
@@ -10,7 +10,7 @@
 static constexpr std::chrono::milliseconds AnswerTimeoutMargin { 300 };
 
 // The same for a listing, which a balancer needs before it can serve and can also get from the store.
-static constexpr std::chrono::milliseconds ListingTimeoutMargin { 150 };
+static constexpr std::chrono::milliseconds ListingTimeoutMargin { 50 };
 
 PeerReader::PeerReader(EventLoop::Loop& loop, Messages::KeyRing const& keys, std::uint16_t port)
     : m_loop(loop)
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -313,6 +313,11 @@
     BOOST_REQUIRE(request.has_value());
     BOOST_TEST(std::holds_alternative<ListRequest>(request->call));
     BOOST_TEST((clock.now() - startedAt < testCase.limit));
+    // Asking a peer between two pages would discard the first one.
+    clock.advance(1s);
+    starting.handleAnswer({ .items = { item("a", 1) }, .hasMore = true, .asOf = Core::Revision { 10 } });
+    request = nextAfterDelay(starting);
+    BOOST_REQUIRE((request == Distribution::StoreRequest { std::nullopt, ListRequest { "a" } }));
 }
 
 BOOST_AUTO_TEST_CASE(StartDuringAnOutageDoesNotFloodThePeers)
