--- a/Libraries/LibDistribution/Compression.cpp
+++ b/Libraries/LibDistribution/Compression.cpp
@@ -5,7 +5,6 @@
 
 namespace Chicorytally::Distribution {
 
-// The fastest levels compress a configuration of 300 KB by a factor of 5 to 6, this one by 9, in a few milliseconds.
 static constexpr int CompressionLevel = 3;
 
 // Bounds the memory that a frame may claim, which is read before its checksum can be verified.
