LibLoad: Replace a zone's sample that gives no verdict

Cause: found in reading. If an upstream of the random sample drains or is removed before its probe ends, its result is no evidence, the sample is never complete, and the zone isn't found unreachable until an answer clears it.

Change: after 500 ms without a verdict another sample is taken. Test: LibLoad/SampleWithoutAVerdictIsReplaced.

--- a/Libraries/LibLoad/ZoneReachability.cpp
+++ b/Libraries/LibLoad/ZoneReachability.cpp
@@ -21,8 +21,10 @@
         return;
     if (zone.silent.size() < m_options.probeThreshold)
         return;
-    if (!zone.sample)
+    if (!zone.sample || m_clock.now() - zone.sampledAt >= m_options.sampleTimeout) {
         zone.sample = m_hooks.probeSample(id, m_options.sampleSize);
+        zone.sampledAt = m_clock.now();
+    }
     zone.isLost = std::ranges::all_of(*zone.sample, [&](auto sampled) { return zone.silent.contains(sampled); });
     if (zone.isLost)
         m_hooks.lost(id);
--- a/Libraries/LibLoad/ZoneReachability.h
+++ b/Libraries/LibLoad/ZoneReachability.h
@@ -22,6 +22,8 @@
     std::size_t sampleSize { 6 };
     /// An upstream that is found silent within this time after an answer from its zone says nothing about the zone.
     std::chrono::milliseconds answerValidity { 300 };
+    /// Another sample is taken if one has given no verdict after this time, because an upstream in it left meanwhile.
+    std::chrono::milliseconds sampleTimeout { 500 };
 };
 
 struct ZoneReachabilityHooks {
@@ -53,6 +55,7 @@
         absl::flat_hash_set<Core::UpstreamId> silent;
         /// Probed upstreams, once there are enough silent ones.
         std::optional<std::vector<Core::UpstreamId>> sample;
+        Core::TimePoint sampledAt;
         bool isLost { false };
         std::optional<Core::TimePoint> answeredAt;
     };
--- a/Tests/LibLoad/TestZoneReachability.cpp
+++ b/Tests/LibLoad/TestZoneReachability.cpp
@@ -88,6 +88,19 @@
     BOOST_TEST(checks == 12U);
 }
 
+BOOST_AUTO_TEST_CASE(SampleWithoutAVerdictIsReplaced)
+{
+    // Guards against a zone that is never found unreachable because a sampled upstream left before its probe ended.
+    reportSilent(1, 7);
+    BOOST_TEST(zones.isReachable(Zone));
+    clock.advance(500ms);
+    nextSampled = 9;
+    reportSilent(20, 20);
+    BOOST_TEST(checks == 12U);
+    reportSilent(9, 14);
+    BOOST_TEST(!zones.isReachable(Zone));
+}
+
 BOOST_AUTO_TEST_CASE(OneAnswerRestoresALostZone)
 {
     // Guards against a zone that stays unused after a temporary network failure.
