LibDistribution: Share a listing among the balancers that start

Cause: a seed encoded and compressed the whole listing anew for each balancer that asked for it.

Ruled out: the links (25 KB a listing).

Change: a listing is encoded once in 50 ms if the view is the same, and its age counts these 50 ms. A request for a listing is refused rather than kept waiting while nothing may be sent.

Tests: LibDistribution/StartingFollowersShareAListing, ListingIsRefusedWhileNothingMayBeSent.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -268,7 +268,7 @@
     auto records = m_directory.upstreamsIn(zone);
     std::ranges::shuffle(records, m_random);
     // Suspects would bias the sample towards silence.
-    std::ranges::stable_partition(records,
+    std::stable_partition(records.begin(), records.end(),
         [this](auto const* record) { return m_liveness.livenessOf(record->entry.upstream.id) == Liveness::Alive; });
     std::vector<Core::UpstreamId> sample;
     for (auto const* record : records) {
--- a/Libraries/LibDistribution/ReplicaFeed.cpp
+++ b/Libraries/LibDistribution/ReplicaFeed.cpp
@@ -2,6 +2,10 @@
 
 namespace Chicorytally::Distribution {
 
+// Encoding a listing takes milliseconds of processor time, and after a power failure hundreds of balancers ask for one.
+// Its age counts as if it were sent at the end of this time.
+static constexpr std::chrono::milliseconds ListingReuseTime { 50 };
+
 ReplicaFeed::ReplicaFeed(Core::Clock const& clock, ItemReplica const& replica, AgeProvider age, AdmissionHook maySend)
     : m_clock(clock)
     , m_replica(replica)
@@ -13,16 +17,28 @@
 void ReplicaFeed::request(Core::Revision after, std::chrono::milliseconds wait, BatchEncoding encoding, Reply reply)
 {
     PendingRequest pending { after, m_clock.now() + wait, encoding, std::move(reply) };
-    // A balancer that starts can get its listing from another one sooner.
-    if (!after.isValid() && !m_maySend()) {
-        pending.reply(nullptr);
+    auto age = m_ageProvider();
+    if (!after.isValid()) {
+        // A balancer that starts can get its listing from another one sooner than by waiting.
+        pending.reply(age && m_maySend() ? listing(encoding, *age) : nullptr);
         return;
     }
     BatchCache batches;
-    if (!tryAnswer(pending, m_ageProvider(), batches))
+    if (!tryAnswer(pending, age, batches))
         m_pendingRequests.push_back(std::move(pending));
 }
 
+std::shared_ptr<ItemBatch const> ReplicaFeed::listing(BatchEncoding encoding, std::chrono::milliseconds age)
+{
+    bool isCurrent = m_listing && m_listing->encoding == encoding && m_listing->completeUpTo == m_replica.completeUpTo()
+        && m_clock.now() - m_listingMadeAt < ListingReuseTime;
+    if (!isCurrent) {
+        m_listing = std::make_shared<ItemBatch const>(batchAfter({}, encoding, age + ListingReuseTime));
+        m_listingMadeAt = m_clock.now();
+    }
+    return m_listing;
+}
+
 void ReplicaFeed::tick()
 {
     if (m_pendingRequests.empty())
--- a/Libraries/LibDistribution/ReplicaFeed.h
+++ b/Libraries/LibDistribution/ReplicaFeed.h
@@ -49,6 +49,8 @@
     /// Returns false if the request must keep waiting. The cache holds batches of the given age by the revision after
     /// which they start and their encoding.
     bool tryAnswer(PendingRequest const&, std::optional<std::chrono::milliseconds> age, BatchCache&) const;
+    /// A listing that is shared by the balancers which ask for one within a short time.
+    std::shared_ptr<ItemBatch const> listing(BatchEncoding, std::chrono::milliseconds age);
     ItemBatch batchAfter(Core::Revision, BatchEncoding, std::chrono::milliseconds age) const;
     void replaceWithPatches(ItemBatch&, Core::Revision after) const;
 
@@ -57,6 +59,8 @@
     AgeProvider m_ageProvider;
     AdmissionHook m_maySend;
     std::list<PendingRequest> m_pendingRequests;
+    std::shared_ptr<ItemBatch const> m_listing;
+    Core::TimePoint m_listingMadeAt;
 };
 
 }
--- a/Libraries/LibRelay/PeerServer.cpp
+++ b/Libraries/LibRelay/PeerServer.cpp
@@ -53,11 +53,10 @@
 
 std::shared_ptr<std::string const> PeerServer::sealedBatch(std::shared_ptr<Distribution::ItemBatch const> const& batch)
 {
-    if (batch != m_lastBatch) {
-        m_lastBatch = batch;
-        m_lastSealedBatch = std::make_shared<std::string const>(Distribution::sealBatch(*batch, m_key));
-    }
-    return m_lastSealedBatch;
+    auto& last = batch->isListing ? m_lastListing : m_lastChanges;
+    if (batch != last.batch)
+        last = { batch, std::make_shared<std::string const>(Distribution::sealBatch(*batch, m_key)) };
+    return last.bytes;
 }
 
 void PeerServer::answer(EventLoop::HttpRequest const& request, EventLoop::HttpServer::ResponseCallback const& reply)
--- a/Libraries/LibRelay/PeerServer.h
+++ b/Libraries/LibRelay/PeerServer.h
@@ -42,9 +42,15 @@
     Messages::PeerKey m_key;
     Distribution::ReplicaFeed& m_feed;
     SentHook m_sentHook;
-    /// The batch that was encoded last. It is cached because followers of the same revision get the same batch.
-    std::shared_ptr<Distribution::ItemBatch const> m_lastBatch;
-    std::shared_ptr<std::string const> m_lastSealedBatch;
+    struct SealedBatch {
+        std::shared_ptr<Distribution::ItemBatch const> batch;
+        std::shared_ptr<std::string const> bytes;
+    };
+
+    /// The changes and the listing that were encoded last. They are cached because followers of the same revision get
+    /// the same batch.
+    SealedBatch m_lastChanges;
+    SealedBatch m_lastListing;
     absl::flat_hash_map<Core::Endpoint, Core::TimePoint> m_followers;
 };
 
