--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -121,7 +121,8 @@
 
 /// Keeps a replica synchronised with the store: lists all items, then watches for changes, and lists again if the store
 /// no longer keeps the changes that it needs. Prefers peers that relay the store, so that few balancers call the store,
-/// and falls back to the store as soon as a peer fails. Only one request is in flight at a time. Not thread-safe.
+/// and falls back to the store as soon as a peer doesn't answer. Only one request is in flight at a time. Not
+/// thread-safe.
 class StoreFollower {
 public:
     StoreFollower(Core::Clock const&, FollowerOptions, ItemReplica&, FollowerHooks);
--- a/Tests/LibDistribution/TestLargeConfiguration.cpp
+++ b/Tests/LibDistribution/TestLargeConfiguration.cpp
@@ -123,8 +123,8 @@
 BOOST_AUTO_TEST_CASE(RelayBehindAThinLinkLeavesHalfOfItFree)
 {
     // Guards against a relay with a link of 20 Mbit/s whose probes and packets wait behind a large configuration.
-    constexpr double bytesPerSecond = 20e6 / 8;
-    allowance.emplace(bytesPerSecond / 2, 50ms);
+    constexpr double BytesPerSecond = 20e6 / 8;
+    allowance.emplace(BytesPerSecond / 2, 50ms);
     write(configuration(1744, 4000, 1), 6);
     std::size_t answered = 0;
     double sentBytes = 0;
@@ -142,7 +142,7 @@
         clock.advance(50ms);
         feed.tick();
         std::chrono::duration<double> elapsed = clock.now() - start;
-        BOOST_TEST(sentBytes <= bytesPerSecond / 2 * (elapsed.count() + 0.05) + largest);
+        BOOST_TEST(sentBytes <= BytesPerSecond / 2 * (elapsed.count() + 0.05) + largest);
     }
     BOOST_TEST(answered == Followers);
 }
