Tests: Check that balancers of an earlier version get plain batches

A request without an encoding is answered as before, so that a fleet of two versions keeps following its seeds. Two lines without effect are removed from PatchForAnotherValueIsRejected. No change of the program.

--- a/Tests/LibDistribution/TestLargeConfiguration.cpp
+++ b/Tests/LibDistribution/TestLargeConfiguration.cpp
@@ -165,15 +165,13 @@
     // Guards against a configuration that is put together from a patch and a value that it wasn't made for.
     write(configuration(1744, 4000, 1), 6);
     auto sealed = answer(5);
-    follower.apply({ ConfigurationKey, configuration(120, 4000, 2), Core::Revision { 5 } });
-    follower.applyListing(
-        { { ConfigurationKey, configuration(120, 4000, 2), Core::Revision { 4 } } }, Core::Revision { 4 });
     Distribution::ItemReplica other { [](Item const&) {} };
     other.applyListing(
         { { ConfigurationKey, configuration(120, 4000, 2), Core::Revision { 4 } } }, Core::Revision { 4 });
     auto batch = Distribution::openBatch(sealed, { .sealing = key });
     BOOST_REQUIRE(batch->patches.size() == 1U);
     BOOST_TEST(!other.applyPatch(batch->patches.front()));
+    // The checksum rejects it even if the revisions match.
     auto altered = batch->patches.front();
     altered.baseRevision = Core::Revision { 4 };
     BOOST_TEST(!other.applyPatch(altered));
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -136,6 +136,39 @@
     BOOST_TEST(followerStore.calls == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(EarlierVersionsGetAPlainBatch)
+{
+    // Guards against balancers of an earlier version that can't read what a seed relays while the fleet is updated.
+    std::string error;
+    auto loop = EventLoop::Loop::create(error);
+    Core::SystemClock clock;
+    FakeStore store;
+    constexpr std::size_t ValueSize = 4096;
+    store.items.front().value = std::string(ValueSize, 'x');
+    auto address = freePort();
+    Node seed { *loop, clock, store, address, { address } };
+    seed.subscription->start();
+    EventLoop::HttpClient client { *loop, address };
+    auto bodyOf = [&](std::string const& target) {
+        std::string body;
+        client.get(target, 1s, [&](auto response, auto) {
+            body = response ? response->body : "";
+            loop->stop();
+        });
+        loop->run();
+        return body;
+    };
+    auto plain = bodyOf("/changes?after=0&wait_ms=0&port=1");
+    auto compressed = bodyOf("/changes?after=0&wait_ms=0&port=1&encoding=zstd");
+    BOOST_TEST(plain.size() > ValueSize);
+    BOOST_TEST(compressed.size() < ValueSize / 2);
+    for (auto const& body : { plain, compressed }) {
+        auto batch = Distribution::openBatch(body, { .sealing = *Messages::PeerKey::fromHex(std::string(64, 'a')) });
+        BOOST_REQUIRE(batch.has_value());
+        BOOST_CHECK(batch->items == store.items);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ReportReachesTheFollowersOfTheSeed)
 {
     // Guards against reports that are not forwarded between balancers that don't know each other.
