LibRelay: Say when a follower reads the store

Cause: the comment of Subscription still said that followers read the store whenever no seed relays a fresh view. Since the store outages were mended they wait until their own view is 2 s old if a seed answers. Change: the comment only; found while reading the whole change again.

--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -50,8 +50,9 @@
 };
 
 /// Keeps a replica of the store up to date and relays it. The reachable seed with the lowest address reads the store.
-/// The other balancers follow it, and read the store themselves while no seed relays a fresh view. There is no leader
-/// election: if two balancers read the store, this only costs additional calls.
+/// The other balancers follow it. They read the store themselves if no seed answers, and if the seeds answer but have
+/// no fresh view for 2 s. There is no leader election: if two balancers read the store, this only costs additional
+/// calls.
 class Subscription {
 public:
     /// Returns null and sets the error if the address can't be bound.
