LibRelay: Log listings, lost history and the store's epoch

Change: events store_epoch, history_lost, listing_applied and items_outdated, two metrics, and the headers of a response in HttpClient. No decision depends on them.

--- a/Libraries/LibDistribution/ItemReplica.cpp
+++ b/Libraries/LibDistribution/ItemReplica.cpp
@@ -22,8 +22,12 @@
 {
     auto [position, isNew] = m_items.try_emplace(item.key);
     auto& version = position->second;
-    if (!isNew && item.revision <= version.revision)
+    if (!isNew && item.revision <= version.revision) {
+        // Several sources send the same revision in ordinary operation.
+        bool isKnown = item.revision == version.revision && item.value == version.value;
+        m_outdatedCount += isKnown ? 0 : 1;
         return false;
+    }
     bool wasPresent = version.value.has_value();
     if (!isNew && !wasPresent)
         --m_tombstoneCount;
--- a/Libraries/LibDistribution/ItemReplica.h
+++ b/Libraries/LibDistribution/ItemReplica.h
@@ -5,6 +5,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -63,6 +64,8 @@
     /// Tombstones up to this revision may have been pruned, so that changesSince() may lack them.
     Core::Revision tombstonesPrunedUpTo() const { return m_tombstonesPrunedUpTo; }
     std::size_t size() const { return m_items.size(); }
+    /// Number of items since the start that were ignored because a newer revision of their key is known.
+    std::uint64_t outdatedCount() const { return m_outdatedCount; }
 
 private:
     struct Version {
@@ -82,6 +85,7 @@
     /// The key is part of the entry because removals found by a listing share its revision.
     absl::btree_set<std::pair<Core::Revision, std::string>> m_byRevision;
     std::size_t m_tombstoneCount { 0 };
+    std::uint64_t m_outdatedCount { 0 };
     Core::Revision m_completeUpTo;
     Core::Revision m_tombstonesPrunedUpTo;
 };
--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -156,7 +156,10 @@
     if (answer.hasMore && !answer.items.empty())
         return;
     m_isListing = false;
-    m_replica.applyListing(std::exchange(m_listedItems, {}), m_listingRevision);
+    m_replica.applyListing(m_listedItems, m_listingRevision);
+    if (m_hooks.listed)
+        m_hooks.listed(std::nullopt, m_listedItems.size(), m_listingRevision);
+    m_listedItems.clear();
     m_syncedAt = m_requestStartedAt;
 }
 
@@ -186,6 +189,8 @@
     // Pages that were read at different times can't be combined, so the listing starts again.
     m_listedItems.clear();
     if (failure == StoreFailure::HistoryLost) {
+        if (m_hooks.historyLost)
+            m_hooks.historyLost(source.peer, m_replica.completeUpTo());
         m_isListing = true;
         m_nextRequestAt = m_clock.now();
         return;
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -51,6 +51,8 @@
     Core::Revision asOf;
     /// The time since the store was at that revision. Greater than zero only in answers of peers.
     std::chrono::milliseconds age { 0 };
+    /// The history of the store that the answer belongs to; invalid if the source doesn't tell.
+    Core::Epoch epoch {};
 };
 
 enum class StoreFailure : std::uint8_t {
@@ -117,6 +119,10 @@
     std::function<void(std::optional<Core::Endpoint> const& peer, StoreFailure)> sourceLost;
     /// Called when a source that failed answers again.
     std::function<void(std::optional<Core::Endpoint> const& peer)> sourceRegained;
+    /// Called when a source no longer keeps the changes after the revision of the replica.
+    std::function<void(std::optional<Core::Endpoint> const& peer, Core::Revision)> historyLost;
+    /// Called when a complete listing of so many items was applied.
+    std::function<void(std::optional<Core::Endpoint> const& peer, std::size_t items, Core::Revision asOf)> listed;
 };
 
 /// Keeps a replica synchronised with the store: lists all items, then watches for changes, and lists again if the store
--- a/Libraries/LibEventLoop/HttpClient.cpp
+++ b/Libraries/LibEventLoop/HttpClient.cpp
@@ -2,10 +2,14 @@
 
 #include <LibEventLoop/TimeValue.h>
 
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
 #include <utility>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 
 namespace Chicorytally::EventLoop {
 
@@ -27,6 +31,14 @@
     return "unknown";
 }
 
+std::optional<std::string_view> HttpResponse::header(std::string_view name) const
+{
+    auto found = std::ranges::find_if(headers, [name](auto const& header) {
+        return std::ranges::equal(header.name, name, {}, absl::ascii_tolower, absl::ascii_tolower);
+    });
+    return found == headers.end() ? std::nullopt : std::optional<std::string_view> { found->value };
+}
+
 HttpClient::HttpClient(Loop& loop, Core::Endpoint server)
     : m_loop(loop)
     , m_server(server)
@@ -93,6 +105,9 @@
     auto* buffer = evhttp_request_get_input_buffer(request);
     HttpResponse response { .status = status, .body = std::string(evbuffer_get_length(buffer), '\0') };
     evbuffer_remove(buffer, response.body.data(), response.body.size());
+    auto const* headers = evhttp_request_get_input_headers(request);
+    for (auto const* header = headers->tqh_first; header; header = header->next.tqe_next)
+        response.headers.push_back({ header->key, header->value });
     self->finish(std::move(response), HttpError::None);
 }
 
--- a/Libraries/LibEventLoop/HttpClient.h
+++ b/Libraries/LibEventLoop/HttpClient.h
@@ -10,17 +10,28 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 struct evhttp_connection;
 struct evhttp_request;
 
 namespace Chicorytally::EventLoop {
 
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
 struct HttpResponse {
     int status { 0 };
     std::string body;
     /// If set, a server sends it instead of `body`, without copying it for each client.
     std::shared_ptr<std::string const> sharedBody {};
+    /// Set only in responses that a client received.
+    std::vector<HttpHeader> headers {};
+
+    /// Returns the value of the first header with the name, whose case doesn't matter.
+    std::optional<std::string_view> header(std::string_view name) const;
 };
 
 enum class HttpError : std::uint8_t {
--- a/Libraries/LibRelay/AnswerHandler.cpp
+++ b/Libraries/LibRelay/AnswerHandler.cpp
@@ -18,7 +18,7 @@
             return;
         }
         std::string cause;
-        auto answer = format.decode(response->body, cause);
+        auto answer = format.decode(*response, cause);
         callback(std::move(answer), StoreFailure::Malformed, cause);
     };
 }
--- a/Libraries/LibRelay/AnswerHandler.h
+++ b/Libraries/LibRelay/AnswerHandler.h
@@ -11,8 +11,8 @@
 
 /// Defines how the HTTP responses of a source are interpreted.
 struct AnswerFormat {
-    /// Decodes the body of a response with status 200. Returns nothing and sets the cause if it is malformed.
-    std::function<std::optional<Distribution::StoreAnswer>(std::string const& body, std::string& cause)> decode;
+    /// Decodes a response with status 200. Returns nothing and sets the cause if it is malformed.
+    std::function<std::optional<Distribution::StoreAnswer>(EventLoop::HttpResponse const&, std::string& cause)> decode;
     /// Maps any other status to a failure.
     std::function<Distribution::StoreFailure(int status)> failureOf;
 };
--- a/Libraries/LibRelay/PeerReader.cpp
+++ b/Libraries/LibRelay/PeerReader.cpp
@@ -28,7 +28,7 @@
     auto target = "/changes?after=" + std::to_string(request.after.value()) + "&wait_ms="
         + std::to_string(request.wait.count()) + "&port=" + std::to_string(m_datagramPort) + "&encoding=zstd";
     AnswerFormat format {
-        .decode = [this](auto const& body, auto& cause) { return decode(body, cause); },
+        .decode = [this](auto const& response, auto& cause) { return decode(response.body, cause); },
         .failureOf = [](int) { return StoreFailure::Refused; },
     };
     auto margin = request.after.isValid() ? AnswerTimeoutMargin : ListingTimeoutMargin;
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -63,6 +63,16 @@
             [](auto const& peer) {
                 logEvent(Level::Info, "source_regained", { { "source", sourceName(peer) } });
             },
+        .historyLost =
+            [](auto const& peer, Core::Revision revision) {
+                logEvent(Level::Info, "history_lost",
+                    { { "source", sourceName(peer) }, { "complete_up_to", revision.value() } });
+            },
+        .listed =
+            [](auto const& peer, std::size_t items, Core::Revision asOf) {
+                logEvent(Level::Info, "listing_applied",
+                    { { "source", sourceName(peer) }, { "items", items }, { "revision", asOf.value() } });
+            },
     };
 }
 
@@ -185,11 +195,27 @@
         m_hooks.callStore(*request, std::move(done));
 }
 
+void Subscription::handleAnswer(bool isPeer, Distribution::StoreAnswer const& answer)
+{
+    if (answer.epoch.isValid() && answer.epoch != m_storeEpoch) {
+        logEvent(Level::Info, "store_epoch",
+            { { "epoch", answer.epoch.value() }, { "former", m_storeEpoch.value() },
+                { "revision", answer.asOf.value() }, { "complete_up_to", m_replica.completeUpTo().value() } });
+        m_storeEpoch = answer.epoch;
+    }
+    auto outdatedBefore = m_replica.outdatedCount();
+    m_follower.handleAnswer(answer);
+    if (auto outdated = m_replica.outdatedCount() - outdatedBefore; outdated != 0)
+        logEvent(Level::Warn, "items_outdated",
+            { { "source", isPeer ? "peer" : "store" }, { "items", outdated }, { "revision", answer.asOf.value() },
+                { "complete_up_to", m_replica.completeUpTo().value() } });
+}
+
 void Subscription::finishRequest(bool isPeer, std::optional<Distribution::StoreAnswer> const& answer,
     Distribution::StoreFailure failure, std::string const& cause)
 {
     if (answer) {
-        m_follower.handleAnswer(*answer);
+        handleAnswer(isPeer, *answer);
     } else {
         ++(isPeer ? m_counters.peerFailures : m_counters.storeFailures);
         logEvent(Level::Debug, "call_failed",
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -69,6 +69,9 @@
     /// Whether the replica was recently confirmed to hold everything in the store.
     bool isComplete() const { return m_follower.isFresh(); }
     std::optional<std::chrono::milliseconds> age() const { return m_follower.age(); }
+    /// The history of the store that the last answer belonged to.
+    Core::Epoch storeEpoch() const { return m_storeEpoch; }
+    std::uint64_t outdatedItemCount() const { return m_replica.outdatedCount(); }
     SubscriptionCounters const& counters() const { return m_counters; }
     PeerMessengerCounters const& messageCounters() const { return m_messenger->counters(); }
 
@@ -78,6 +81,7 @@
     ReportExchangeHooks exchangeHooks();
     void receive(Messages::PeerMessage const&);
     void sendNextRequest();
+    void handleAnswer(bool isPeer, Distribution::StoreAnswer const&);
     void finishRequest(bool isPeer, std::optional<Distribution::StoreAnswer> const&, Distribution::StoreFailure,
         std::string const& cause);
     std::optional<std::chrono::milliseconds> relayableAge() const;
@@ -85,6 +89,7 @@
 
     SubscriptionHooks m_hooks;
     SubscriptionCounters m_counters;
+    Core::Epoch m_storeEpoch;
     Distribution::ItemReplica m_replica;
     Distribution::StoreFollower m_follower;
     Core::Clock const& m_clock;
--- a/Tests/LibEventLoop/TestHttp.cpp
+++ b/Tests/LibEventLoop/TestHttp.cpp
@@ -85,6 +85,8 @@
     get(client, "/a?x=1");
     BOOST_REQUIRE(response.has_value());
     BOOST_TEST(response->body == "first");
+    BOOST_TEST(response->header("content-length").value_or("") == "5");
+    BOOST_TEST(!response->header("content").has_value());
     get(client, "/b");
     BOOST_TEST(response->status == 503);
     BOOST_TEST(response->body == "second");
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -26,6 +26,11 @@
     return Platform::decodeItem({ std::move(key), std::move(value), Core::Revision { 42 } }, error);
 }
 
+std::optional<Distribution::StoreAnswer> decodeBody(std::string body, std::string& error)
+{
+    return Platform::decodeAnswer({ .status = 200, .body = std::move(body) }, error);
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(StoreItems)
@@ -129,18 +134,35 @@
 {
     // Guards against decoding a removal as an empty value, and against failing on a value that isn't base64.
     std::string error;
-    auto answer = Platform::decodeAnswer(
-        R"({"events":[{"key":"a","value":"bm9kZS0x","rev":412,"create_rev":412,"lease":0},)"
-        R"({"key":"b","rev":413,"removed":true},{"key":"c","value":"%%%","rev":414}],"as_of":414})",
-        error);
+    auto answer
+        = decodeBody(R"({"events":[{"key":"a","value":"bm9kZS0x","rev":412,"create_rev":412,"lease":0},)"
+                     R"({"key":"b","rev":413,"removed":true},{"key":"c","value":"%%%","rev":414}],"as_of":414})",
+            error);
     BOOST_REQUIRE_MESSAGE(answer.has_value(), error);
     BOOST_TEST(answer->asOf.value() == 414U);
     BOOST_REQUIRE(answer->items.size() == 3U);
     BOOST_TEST(*answer->items[0].value == "node-1");
     BOOST_TEST(!answer->items[1].value.has_value());
     BOOST_TEST(answer->items[2].value.has_value());
-    BOOST_TEST(!Platform::decodeAnswer("{", error).has_value());
-    BOOST_TEST(!Platform::decodeAnswer(R"({"items":[]})", error).has_value());
+    BOOST_TEST(!decodeBody("{", error).has_value());
+    BOOST_TEST(!decodeBody(R"({"items":[]})", error).has_value());
+}
+
+BOOST_DATA_TEST_CASE(EpochOfAnAnswerIsDecoded,
+    boost::unit_test::data::make({ "Store-Era", "store-era" }) * boost::unit_test::data::make({ "7", "", "x" }), name,
+    value)
+{
+    // Guards against taking revisions of different histories of the store for those of one.
+    std::string error;
+    EventLoop::HttpResponse response { .status = 200, .body = R"({"as_of":4})", .headers = { { name, value } } };
+    auto answer = Platform::decodeAnswer(response, error);
+    if (std::string_view { value } != "7") {
+        BOOST_TEST(!answer.has_value());
+        BOOST_TEST(error.find("Store-Era") != std::string::npos);
+        return;
+    }
+    BOOST_REQUIRE_MESSAGE(answer.has_value(), error);
+    BOOST_TEST(answer->epoch.value() == 7U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
