LibCore: Order revisions by the epoch of the store

Cause: after a restore the store gives out revisions again. A change that got a number of the lost history was ignored by the replica, or never returned by the watch, which went on from a revision of that history. Ruled out: the version gate of the routes (no routes_ignored line), and the relay, which only lacked what its own replica lacked.

Change: a revision is an epoch and a number, ordered by the epoch first, so that each comparison of revisions holds. A watch or a page of another epoch leads to a listing, an answer of an earlier epoch is rejected as stale, and a relay sends a listing to a follower of an earlier epoch. Balancers of earlier versions are answered as before; their own batches have no epoch, so that balancers with one don't use them.

--- a/Libraries/LibCore/Core.h
+++ b/Libraries/LibCore/Core.h
@@ -8,3 +8,4 @@
 #include <LibCore/Hash.h>
 #include <LibCore/Id.h>
 #include <LibCore/IpAddress.h>
+#include <LibCore/Revision.h>
--- a/Libraries/LibCore/Id.h
+++ b/Libraries/LibCore/Id.h
@@ -35,13 +35,6 @@
 using VmId = Id<struct VmTag>;
 using ZoneId = Id<struct ZoneTag>;
 
-/// Revision number that the platform assigns to a configuration; a greater revision is newer.
-using Revision = Id<struct RevisionTag>;
-
-/// Identifies a history of the platform's store. It increases each time the store is restored from a copy, which gives
-/// out revisions again.
-using Epoch = Id<struct EpochTag>;
-
 /// Identifies one lifetime of a process on a VM; a greater incarnation is newer.
 using Incarnation = Id<struct IncarnationTag>;
 
--- a/Libraries/LibDistribution/ItemBatch.cpp
+++ b/Libraries/LibDistribution/ItemBatch.cpp
@@ -23,12 +23,17 @@
 {
     Messages::ItemBatch message;
     message.completeUpTo = static_cast<std::int64_t>(batch.completeUpTo.value());
+    auto epoch = batch.completeUpTo.epoch();
+    if (epoch.isValid())
+        message.__set_epoch(static_cast<std::int64_t>(epoch.value()));
     message.ageMilliseconds = static_cast<std::int32_t>(std::min<std::int64_t>(batch.age.count(), INT32_MAX));
     message.isListing = batch.isListing;
     for (auto const& item : batch.items) {
         auto& stored = message.items.emplace_back();
         stored.key = item.key;
         stored.revision = static_cast<std::int64_t>(item.revision.value());
+        if (item.revision.epoch() != epoch)
+            stored.__set_epoch(static_cast<std::int64_t>(item.revision.epoch().value()));
         if (item.value)
             stored.__set_value(*item.value);
     }
@@ -51,22 +56,28 @@
     return sealed;
 }
 
+static Core::Revision revisionOf(std::int64_t value, std::int64_t epoch)
+{
+    return Core::Revision { static_cast<std::uint64_t>(value), Core::Epoch { static_cast<std::uint64_t>(epoch) } };
+}
+
 static ItemBatch fromMessage(Messages::ItemBatch const& message)
 {
     ItemBatch batch;
-    batch.completeUpTo = Core::Revision { static_cast<std::uint64_t>(message.completeUpTo) };
+    auto epoch = message.__isset.epoch ? message.epoch : 0;
+    batch.completeUpTo = revisionOf(message.completeUpTo, epoch);
     batch.age = std::chrono::milliseconds { message.ageMilliseconds };
     batch.isListing = message.isListing;
     for (auto const& stored : message.items) {
         auto& item = batch.items.emplace_back();
         item.key = stored.key;
-        item.revision = Core::Revision { static_cast<std::uint64_t>(stored.revision) };
+        item.revision = revisionOf(stored.revision, stored.__isset.epoch ? stored.epoch : epoch);
         if (stored.__isset.value)
             item.value = stored.value;
     }
     for (auto const& stored : message.patches) {
-        batch.patches.push_back({ stored.key, Core::Revision { static_cast<std::uint64_t>(stored.revision) },
-            Core::Revision { static_cast<std::uint64_t>(stored.baseRevision) }, stored.patch });
+        batch.patches.push_back(
+            { stored.key, revisionOf(stored.revision, epoch), revisionOf(stored.baseRevision, epoch), stored.patch });
     }
     return batch;
 }
--- a/Libraries/LibDistribution/ItemReplica.cpp
+++ b/Libraries/LibDistribution/ItemReplica.cpp
@@ -95,8 +95,7 @@
 std::vector<Item> ItemReplica::changesSince(Core::Revision revision) const
 {
     std::vector<Item> changes;
-    Core::Revision next { revision.value() + 1 };
-    for (auto entry = m_byRevision.lower_bound({ next, {} }); entry != m_byRevision.end(); ++entry) {
+    for (auto entry = m_byRevision.lower_bound({ revision.next(), {} }); entry != m_byRevision.end(); ++entry) {
         auto const& version = m_items.at(entry->second);
         changes.push_back({ entry->second, version.value, version.revision });
     }
--- a/Libraries/LibDistribution/ItemReplica.h
+++ b/Libraries/LibDistribution/ItemReplica.h
@@ -36,7 +36,8 @@
 
 /// A replica of a store in which each change gets the next revision. It accepts items in any order, from the store and
 /// from other balancers, and keeps the newest version of each key, so that a late item never replaces a newer one.
-/// Removed keys are kept as tombstones. Not thread-safe.
+/// Removed keys are kept as tombstones. After the store was restored from a copy, a listing of the new epoch is needed
+/// before any of its changes. Not thread-safe.
 class ItemReplica {
 public:
     /// Called for each change of a key, including removals.
--- a/Libraries/LibDistribution/ReplicaFeed.cpp
+++ b/Libraries/LibDistribution/ReplicaFeed.cpp
@@ -51,7 +51,8 @@
 bool ReplicaFeed::tryAnswer(
     PendingRequest const& pending, std::optional<std::chrono::milliseconds> age, BatchCache& batches) const
 {
-    if (!age) {
+    // A requester in a later epoch knows of a restore that this balancer has not seen yet.
+    if (!age || pending.after.epoch() > m_replica.completeUpTo().epoch()) {
         pending.reply(nullptr);
         return true;
     }
@@ -67,7 +68,9 @@
 
 ItemBatch ReplicaFeed::batchAfter(Core::Revision after, BatchEncoding encoding, std::chrono::milliseconds age) const
 {
-    bool isListing = !after.isValid() || after < m_replica.tombstonesPrunedUpTo();
+    // Changes continue a view of the same epoch only.
+    bool isListing = !after.isValid() || after.epoch() != m_replica.completeUpTo().epoch()
+        || after < m_replica.tombstonesPrunedUpTo();
     ItemBatch batch { .items = m_replica.changesSince(isListing ? Core::Revision {} : after),
         .completeUpTo = m_replica.completeUpTo(),
         .age = age,
@@ -84,7 +87,8 @@
 {
     std::erase_if(batch.items, [&](Item const& item) {
         auto patch = m_replica.patchSince(item.key, after);
-        if (!patch)
+        // A patch is sent without epochs, which are those of the batch.
+        if (!patch || patch->baseRevision.epoch() != after.epoch())
             return false;
         batch.patches.push_back(std::move(*patch));
         return true;
--- a/Libraries/LibDistribution/ReplicaFeed.h
+++ b/Libraries/LibDistribution/ReplicaFeed.h
@@ -34,6 +34,8 @@
     /// Replies to the pending requests that are due. To be called after changes and every 50 ms. If the view has become
     /// too old, replies to all pending requests with null.
     void tick();
+    /// The epoch of the replica.
+    Core::Epoch epoch() const { return m_replica.completeUpTo().epoch(); }
     std::size_t pendingRequestCount() const { return m_pendingRequests.size(); }
 
 private:
--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -129,8 +129,17 @@
 void StoreFollower::handleAnswer(StoreAnswer const& answer)
 {
     auto& source = *std::exchange(m_requestedSource, nullptr);
+    auto epoch = m_replica.completeUpTo().epoch();
+    if (answer.asOf.epoch() < epoch) {
+        m_listedItems.clear();
+        recordFailure(source, StoreFailure::Stale);
+        return;
+    }
     if (m_isPageRequested) {
         applyPage(answer);
+    } else if (answer.asOf.epoch() != epoch && !answer.isListing) {
+        // The watch continued a history that is gone, so the changes before its revision are unknown.
+        startListing();
     } else {
         if (!applyChanges(answer)) {
             // The next request goes to the store, which sends whole values.
@@ -147,10 +156,22 @@
         m_hooks.sourceRegained(source.peer);
 }
 
+void StoreFollower::startListing()
+{
+    m_isListing = true;
+    m_listedItems.clear();
+    m_nextRequestAt = m_clock.now();
+}
+
 void StoreFollower::applyPage(StoreAnswer const& answer)
 {
     if (m_listedItems.empty())
         m_listingRevision = answer.asOf;
+    if (answer.asOf.epoch() != m_listingRevision.epoch()) {
+        // The store was restored between two pages.
+        startListing();
+        return;
+    }
     m_listedItems.insert(m_listedItems.end(), answer.items.begin(), answer.items.end());
     m_nextRequestAt = m_clock.now();
     if (answer.hasMore && !answer.items.empty())
@@ -191,8 +212,7 @@
     if (failure == StoreFailure::HistoryLost) {
         if (m_hooks.historyLost)
             m_hooks.historyLost(source.peer, m_replica.completeUpTo());
-        m_isListing = true;
-        m_nextRequestAt = m_clock.now();
+        startListing();
         return;
     }
     recordFailure(source, failure);
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -51,8 +51,6 @@
     Core::Revision asOf;
     /// The time since the store was at that revision. Greater than zero only in answers of peers.
     std::chrono::milliseconds age { 0 };
-    /// The history of the store that the answer belongs to; invalid if the source doesn't tell.
-    Core::Epoch epoch {};
 };
 
 enum class StoreFailure : std::uint8_t {
@@ -64,7 +62,7 @@
     HistoryLost,
     /// The answer could not be decoded.
     Malformed,
-    /// The peer's view is older than the limit.
+    /// The peer's view is older than the limit, or the answer belongs to an epoch before that of the replica.
     Stale,
 };
 
@@ -158,6 +156,8 @@
     /// Whether this balancer has no view yet, has not begun to list the store, and should get a listing from a peer.
     bool isStartingFromPeers() const;
     Source& selectSource();
+    /// Starts a listing, because the replica misses changes that no watch returns.
+    void startListing();
     void applyPage(StoreAnswer const&);
     /// Returns false if a patch doesn't apply, so that the replica misses its change.
     bool applyChanges(StoreAnswer const&);
--- a/Libraries/LibMessages/distribution.thrift
+++ b/Libraries/LibMessages/distribution.thrift
@@ -56,6 +56,8 @@
     /// Absent if the key was removed.
     2: optional binary value,
     3: required i64 revision,
+    /// The epoch of the revision, if it isn't that of the batch.
+    4: optional i64 epoch,
 }
 
 /// A key's new value as a difference to an earlier value of the key.
@@ -78,6 +80,8 @@
     4: required bool isListing,
     /// Sent only to receivers that announced support for it.
     5: optional list<StoredPatch> patches,
+    /// The epoch of all revisions in the batch. Absent from balancers of earlier versions.
+    6: optional i64 epoch,
 }
 
 union DistributionMessage {
--- a/Libraries/LibMessages/gen/distribution_types.cpp
+++ b/Libraries/LibMessages/gen/distribution_types.cpp
@@ -1110,6 +1110,11 @@
 void StoredItem::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void StoredItem::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoredItem& obj)
 {
   obj.printTo(out);
@@ -1164,6 +1169,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1198,6 +1211,11 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1208,6 +1226,7 @@
   swap(a.key, b.key);
   swap(a.value, b.value);
   swap(a.revision, b.revision);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -1215,18 +1234,21 @@
   key = other30.key;
   value = other30.value;
   revision = other30.revision;
+  epoch = other30.epoch;
   __isset = other30.__isset;
 }
 StoredItem::StoredItem(StoredItem&& other31) noexcept {
   key = std::move(other31.key);
   value = std::move(other31.value);
   revision = other31.revision;
+  epoch = other31.epoch;
   __isset = other31.__isset;
 }
 StoredItem& StoredItem::operator=(const StoredItem& other32) {
   key = other32.key;
   value = other32.value;
   revision = other32.revision;
+  epoch = other32.epoch;
   __isset = other32.__isset;
   return *this;
 }
@@ -1234,6 +1256,7 @@
   key = std::move(other33.key);
   value = std::move(other33.value);
   revision = other33.revision;
+  epoch = other33.epoch;
   __isset = other33.__isset;
   return *this;
 }
@@ -1243,6 +1266,7 @@
   out << "key=" << to_string(key);
   out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1445,6 +1469,11 @@
   this->patches = val;
 __isset.patches = true;
 }
+
+void ItemBatch::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const ItemBatch& obj)
 {
   obj.printTo(out);
@@ -1541,6 +1570,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1603,6 +1640,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1615,6 +1657,7 @@
   swap(a.ageMilliseconds, b.ageMilliseconds);
   swap(a.isListing, b.isListing);
   swap(a.patches, b.patches);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -1624,6 +1667,7 @@
   ageMilliseconds = other50.ageMilliseconds;
   isListing = other50.isListing;
   patches = other50.patches;
+  epoch = other50.epoch;
   __isset = other50.__isset;
 }
 ItemBatch::ItemBatch(ItemBatch&& other51) noexcept {
@@ -1632,6 +1676,7 @@
   ageMilliseconds = other51.ageMilliseconds;
   isListing = other51.isListing;
   patches = std::move(other51.patches);
+  epoch = other51.epoch;
   __isset = other51.__isset;
 }
 ItemBatch& ItemBatch::operator=(const ItemBatch& other52) {
@@ -1640,6 +1685,7 @@
   ageMilliseconds = other52.ageMilliseconds;
   isListing = other52.isListing;
   patches = other52.patches;
+  epoch = other52.epoch;
   __isset = other52.__isset;
   return *this;
 }
@@ -1649,6 +1695,7 @@
   ageMilliseconds = other53.ageMilliseconds;
   isListing = other53.isListing;
   patches = std::move(other53.patches);
+  epoch = other53.epoch;
   __isset = other53.__isset;
   return *this;
 }
@@ -1660,6 +1707,7 @@
   out << ", " << "ageMilliseconds=" << to_string(ageMilliseconds);
   out << ", " << "isListing=" << to_string(isListing);
   out << ", " << "patches="; (__isset.patches ? (out << to_string(patches)) : (out << "<null>"));
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/distribution_types.h
+++ b/Libraries/LibMessages/gen/distribution_types.h
@@ -435,8 +435,9 @@
 std::ostream& operator<<(std::ostream& out, const CopyChunk& obj);
 
 typedef struct _StoredItem__isset {
-  _StoredItem__isset() : value(false) {}
+  _StoredItem__isset() : value(false), epoch(false) {}
   bool value :1;
+  bool epoch :1;
 } _StoredItem__isset;
 
 class StoredItem : public virtual ::apache::thrift::TBase {
@@ -449,13 +450,15 @@
   StoredItem() noexcept
              : key(),
                value(),
-               revision(0) {
+               revision(0),
+               epoch(0) {
   }
 
   virtual ~StoredItem() noexcept;
   std::string key;
   std::string value;
   int64_t revision;
+  int64_t epoch;
 
   _StoredItem__isset __isset;
 
@@ -465,6 +468,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_epoch(const int64_t val);
+
   bool operator == (const StoredItem & rhs) const
   {
     if (!(key == rhs.key))
@@ -475,6 +480,10 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (__isset.epoch != rhs.__isset.epoch)
+      return false;
+    else if (__isset.epoch && !(epoch == rhs.epoch))
+      return false;
     return true;
   }
   bool operator != (const StoredItem &rhs) const {
@@ -551,8 +560,9 @@
 std::ostream& operator<<(std::ostream& out, const StoredPatch& obj);
 
 typedef struct _ItemBatch__isset {
-  _ItemBatch__isset() : patches(false) {}
+  _ItemBatch__isset() : patches(false), epoch(false) {}
   bool patches :1;
+  bool epoch :1;
 } _ItemBatch__isset;
 
 class ItemBatch : public virtual ::apache::thrift::TBase {
@@ -565,7 +575,8 @@
   ItemBatch() noexcept
             : completeUpTo(0),
               ageMilliseconds(0),
-              isListing(0) {
+              isListing(0),
+              epoch(0) {
   }
 
   virtual ~ItemBatch() noexcept;
@@ -574,6 +585,7 @@
   int32_t ageMilliseconds;
   bool isListing;
   std::vector<StoredPatch>  patches;
+  int64_t epoch;
 
   _ItemBatch__isset __isset;
 
@@ -587,6 +599,8 @@
 
   void __set_patches(const std::vector<StoredPatch> & val);
 
+  void __set_epoch(const int64_t val);
+
   bool operator == (const ItemBatch & rhs) const
   {
     if (!(items == rhs.items))
@@ -601,6 +615,10 @@
       return false;
     else if (__isset.patches && !(patches == rhs.patches))
       return false;
+    if (__isset.epoch != rhs.__isset.epoch)
+      return false;
+    else if (__isset.epoch && !(epoch == rhs.epoch))
+      return false;
     return true;
   }
   bool operator != (const ItemBatch &rhs) const {
--- a/Libraries/LibRelay/PeerReader.cpp
+++ b/Libraries/LibRelay/PeerReader.cpp
@@ -25,8 +25,9 @@
     auto& client = m_clients[peer];
     if (!client)
         client = std::make_unique<EventLoop::HttpClient>(m_loop, peer);
-    auto target = "/changes?after=" + std::to_string(request.after.value()) + "&wait_ms="
-        + std::to_string(request.wait.count()) + "&port=" + std::to_string(m_datagramPort) + "&encoding=zstd";
+    auto target = "/changes?after=" + std::to_string(request.after.value())
+        + "&wait_ms=" + std::to_string(request.wait.count()) + "&port=" + std::to_string(m_datagramPort)
+        + "&epoch=" + std::to_string(request.after.epoch().value()) + "&encoding=zstd";
     AnswerFormat format {
         .decode = [this](auto const& response, auto& cause) { return decode(response.body, cause); },
         .failureOf = [](int) { return StoreFailure::Refused; },
--- a/Libraries/LibRelay/PeerServer.cpp
+++ b/Libraries/LibRelay/PeerServer.cpp
@@ -7,6 +7,9 @@
 
 using Distribution::BatchEncoding;
 
+// The revision, the wait and the port.
+static constexpr int RequiredParameters = 3;
+
 static constexpr std::string_view CompressionRequest { "&encoding=zstd" };
 
 // Limits how long a connection is kept open for a client that is gone.
@@ -64,23 +67,26 @@
     unsigned long long after = 0;
     long long wait = 0;
     unsigned short port = 0;
-    auto parsedCount = std::sscanf(request.query.c_str(), "after=%llu&wait_ms=%lld&port=%hu", &after, &wait, &port);
+    unsigned long long epoch = m_feed.epoch().value();
+    auto parsedCount = std::sscanf(
+        request.query.c_str(), "after=%llu&wait_ms=%lld&port=%hu&epoch=%llu", &after, &wait, &port, &epoch);
     auto encoding = request.query.ends_with(CompressionRequest) ? BatchEncoding::Compressed : BatchEncoding::Plain;
-    if (parsedCount != 3 || wait < 0) {
+    if (parsedCount < RequiredParameters || wait < 0) {
         reply({ .status = 400, .body = "after, wait_ms and port are needed" });
         return;
     }
     m_followers.insert_or_assign(Core::Endpoint { request.client, port }, m_clock.now());
     auto boundedWait = std::min(std::chrono::milliseconds { wait }, MaximumWait);
-    m_feed.request(Core::Revision { after }, boundedWait, encoding, [this, reply](auto const& batch) {
-        if (!batch) {
-            reply({ .status = 503 });
-            return;
-        }
-        auto sealed = sealedBatch(batch);
-        m_sentHook(sealed->size());
-        reply({ .status = 200, .sharedBody = std::move(sealed) });
-    });
+    m_feed.request(
+        Core::Revision { after, Core::Epoch { epoch } }, boundedWait, encoding, [this, reply](auto const& batch) {
+            if (!batch) {
+                reply({ .status = 503 });
+                return;
+            }
+            auto sealed = sealedBatch(batch);
+            m_sentHook(sealed->size());
+            reply({ .status = 200, .sharedBody = std::move(sealed) });
+        });
 }
 
 }
--- a/Libraries/LibRelay/PeerServer.h
+++ b/Libraries/LibRelay/PeerServer.h
@@ -14,9 +14,10 @@
 
 namespace Chicorytally::Relay {
 
-/// Answers `GET /changes?after=REVISION&wait_ms=MILLISECONDS&port=PORT&encoding=zstd` of other balancers with an
-/// authenticated ItemBatch, or with status 503 while this balancer's view is too old. PORT is the port on which the
-/// requesting balancer receives datagrams. Without an encoding, the batch is sent in plain form.
+/// Answers `GET /changes?after=REVISION&wait_ms=MILLISECONDS&port=PORT&epoch=EPOCH&encoding=zstd` of other balancers
+/// with an authenticated ItemBatch, or with status 503 while this balancer's view is too old. PORT is the port on which
+/// the requesting balancer receives datagrams. Balancers of earlier versions send neither the epoch of the revision,
+/// which then counts as this balancer's, nor the encoding, without which the batch is sent in plain form.
 class PeerServer {
 public:
     /// Called with the size of each batch that is sent.
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -197,11 +197,11 @@
 
 void Subscription::handleAnswer(bool isPeer, Distribution::StoreAnswer const& answer)
 {
-    if (answer.epoch.isValid() && answer.epoch != m_storeEpoch) {
+    if (auto epoch = answer.asOf.epoch(); epoch > m_storeEpoch) {
         logEvent(Level::Info, "store_epoch",
-            { { "epoch", answer.epoch.value() }, { "former", m_storeEpoch.value() },
-                { "revision", answer.asOf.value() }, { "complete_up_to", m_replica.completeUpTo().value() } });
-        m_storeEpoch = answer.epoch;
+            { { "epoch", epoch.value() }, { "former", m_storeEpoch.value() }, { "revision", answer.asOf.value() },
+                { "complete_up_to", m_replica.completeUpTo().value() } });
+        m_storeEpoch = epoch;
     }
     auto outdatedBefore = m_replica.outdatedCount();
     m_follower.handleAnswer(answer);
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -69,7 +69,7 @@
     /// Whether the replica was recently confirmed to hold everything in the store.
     bool isComplete() const { return m_follower.isFresh(); }
     std::optional<std::chrono::milliseconds> age() const { return m_follower.age(); }
-    /// The history of the store that the last answer belonged to.
+    /// The greatest epoch of the store in any answer.
     Core::Epoch storeEpoch() const { return m_storeEpoch; }
     std::uint64_t outdatedItemCount() const { return m_replica.outdatedCount(); }
     SubscriptionCounters const& counters() const { return m_counters; }
--- a/Tests/LibDistribution/TestRestoredStore.cpp
+++ b/Tests/LibDistribution/TestRestoredStore.cpp
@@ -117,8 +117,10 @@
 
     StoreAnswer stamped(StoreAnswer answer) const
     {
-        answer.asOf = Core::Revision { m_revision };
-        answer.epoch = Core::Epoch { m_epoch };
+        Core::Epoch epoch { m_epoch };
+        answer.asOf = Core::Revision { m_revision, epoch };
+        for (auto& item : answer.items)
+            item.revision = Core::Revision { item.revision.value(), epoch };
         return answer;
     }
 
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -162,7 +162,7 @@
         return;
     }
     BOOST_REQUIRE_MESSAGE(answer.has_value(), error);
-    BOOST_TEST(answer->epoch.value() == 7U);
+    BOOST_TEST(answer->asOf.epoch().value() == 7U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
