LibDistribution: Keep what a restored store lacks until it is written again

Callers would have got upstreams of a zone that operators had taken out, and services would have lost the upstreams that registered after the copy was made, until both were written again.

Cause: a listing of the restored store was taken as proof that each key which it lacks was removed, though the copy is older than what was known.

Change: a listing removes keys of its own epoch only. A key with the same value takes the revision of the new epoch without being applied; the others are unconfirmed and removed 2 s later, as the platform states that entries are back by then. Relays send unconfirmed items with their earlier epoch, so that a balancer which starts meanwhile removes them, too.

--- a/Libraries/LibDistribution/ItemReplica.cpp
+++ b/Libraries/LibDistribution/ItemReplica.cpp
@@ -18,8 +18,24 @@
 {
 }
 
+bool ItemReplica::confirm(Item const& item)
+{
+    auto position = m_items.find(item.key);
+    if (position == m_items.end() || !item.value)
+        return false;
+    auto& version = position->second;
+    if (version.revision.epoch() >= item.revision.epoch() || version.value != item.value)
+        return false;
+    m_byRevision.erase({ version.revision, item.key });
+    version.revision = item.revision;
+    m_byRevision.emplace(item.revision, item.key);
+    return true;
+}
+
 bool ItemReplica::apply(Item const& item)
 {
+    if (confirm(item))
+        return true;
     auto [position, isNew] = m_items.try_emplace(item.key);
     auto& version = position->second;
     if (!isNew && item.revision <= version.revision) {
@@ -79,7 +95,8 @@
     std::ranges::sort(keys);
     std::vector<Item> removed;
     for (auto const& [key, version] : m_items) {
-        if (version.value && version.revision <= asOf && !std::ranges::binary_search(keys, std::string_view { key }))
+        bool isRemovable = version.value && version.revision <= asOf && version.revision.epoch() == asOf.epoch();
+        if (isRemovable && !std::ranges::binary_search(keys, std::string_view { key }))
             removed.push_back({ key, std::nullopt, asOf });
     }
     // Removals are applied first, so that an address that moved to another upstream never belongs to two upstreams.
@@ -90,6 +107,18 @@
     markCompleteUpTo(asOf);
 }
 
+std::size_t ItemReplica::removeUnconfirmed()
+{
+    std::vector<Item> removed;
+    for (auto const& [key, version] : m_items) {
+        if (version.value && version.revision.epoch() < m_completeUpTo.epoch())
+            removed.push_back({ key, std::nullopt, m_completeUpTo });
+    }
+    for (auto const& item : removed)
+        apply(item);
+    return removed.size();
+}
+
 void ItemReplica::markCompleteUpTo(Core::Revision revision) { m_completeUpTo = std::max(m_completeUpTo, revision); }
 
 std::vector<Item> ItemReplica::changesSince(Core::Revision revision) const
--- a/Libraries/LibDistribution/ItemReplica.h
+++ b/Libraries/LibDistribution/ItemReplica.h
@@ -36,8 +36,11 @@
 
 /// A replica of a store in which each change gets the next revision. It accepts items in any order, from the store and
 /// from other balancers, and keeps the newest version of each key, so that a late item never replaces a newer one.
-/// Removed keys are kept as tombstones. After the store was restored from a copy, a listing of the new epoch is needed
-/// before any of its changes. Not thread-safe.
+/// Removed keys are kept as tombstones. Not thread-safe.
+///
+/// After the store was restored from a copy, a listing of the new epoch is needed before any of its changes. The copy
+/// may lack what was written after it was made and is written again, so keys that the listing lacks are kept as
+/// unconfirmed until removeUnconfirmed().
 class ItemReplica {
 public:
     /// Called for each change of a key, including removals.
@@ -49,9 +52,11 @@
     bool apply(Item const&);
     /// Returns false if the key's value isn't the one that the patch applies to and is older than the patch's.
     bool applyPatch(ItemPatch const&);
-    /// Applies a complete listing of the store that was read at the revision or later. Keys that are missing from it
-    /// were removed by then.
+    /// Applies a complete listing of the store that was read at the revision or later. Keys of the same epoch that are
+    /// missing from it were removed by then.
     void applyListing(std::vector<Item> const&, Core::Revision asOf);
+    /// Removes the keys that are known from earlier epochs only. Returns their number.
+    std::size_t removeUnconfirmed();
     /// Records that every change up to the revision has been applied.
     void markCompleteUpTo(Core::Revision);
 
@@ -79,6 +84,8 @@
         mutable std::optional<std::string> patch;
     };
 
+    /// Gives an unchanged value its revision in a later epoch. Returns false if the item is no such value.
+    bool confirm(Item const&);
     void pruneTombstones();
 
     ChangeHook m_changeHook;
--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -151,11 +151,23 @@
             return;
         }
     }
+    if (m_replica.completeUpTo().epoch() != epoch)
+        m_confirmationEnd = m_clock.now() + m_options.confirmationTime;
     m_hasPeerFailed = false;
     if (std::exchange(source.failures, 0) != 0 && m_hooks.sourceRegained)
         m_hooks.sourceRegained(source.peer);
 }
 
+void StoreFollower::tick()
+{
+    if (!m_confirmationEnd || m_clock.now() < *m_confirmationEnd)
+        return;
+    m_confirmationEnd.reset();
+    auto removed = m_replica.removeUnconfirmed();
+    if (removed != 0 && m_hooks.unconfirmedRemoved)
+        m_hooks.unconfirmedRemoved(removed);
+}
+
 void StoreFollower::startListing()
 {
     m_isListing = true;
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -109,6 +109,8 @@
     std::chrono::milliseconds unansweredListingHoldoff { 50 };
     /// Delay before a peer without a listing is asked again. Doubles up to the maximum for a stale peer.
     std::chrono::milliseconds listingRetry { 30 };
+    /// How long keys are kept that a restored store lacks. What it lost is written again within about this time.
+    std::chrono::milliseconds confirmationTime { 2000 };
     std::uint64_t randomSeed { 0 };
 };
 
@@ -121,6 +123,8 @@
     std::function<void(std::optional<Core::Endpoint> const& peer, Core::Revision)> historyLost;
     /// Called when a complete listing of so many items was applied.
     std::function<void(std::optional<Core::Endpoint> const& peer, std::size_t items, Core::Revision asOf)> listed;
+    /// Called when so many keys were removed because they were not written again after a restore of the store.
+    std::function<void(std::size_t items)> unconfirmedRemoved;
 };
 
 /// Keeps a replica synchronised with the store: lists all items, then watches for changes, and lists again if the store
@@ -137,6 +141,8 @@
     std::optional<std::chrono::milliseconds> nextRequestDelay() const;
     void handleAnswer(StoreAnswer const&);
     void handleFailure(StoreFailure);
+    /// Must be called every 50 ms.
+    void tick();
 
     /// Returns the time since the replica was last known to equal the store, or nothing before the first listing.
     std::optional<std::chrono::milliseconds> age() const;
@@ -191,6 +197,8 @@
     Core::TimePoint m_requestStartedAt;
     Core::TimePoint m_nextRequestAt;
     std::optional<Core::TimePoint> m_syncedAt;
+    /// When the keys that a restored store lacks are removed.
+    std::optional<Core::TimePoint> m_confirmationEnd;
 };
 
 }
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -73,6 +73,10 @@
                 logEvent(Level::Info, "listing_applied",
                     { { "source", sourceName(peer) }, { "items", items }, { "revision", asOf.value() } });
             },
+        .unconfirmedRemoved =
+            [](std::size_t items) {
+                logEvent(Level::Info, "unconfirmed_items_removed", { { "items", items } });
+            },
     };
 }
 
@@ -160,6 +164,7 @@
 
 void Subscription::tick()
 {
+    m_follower.tick();
     m_feed.tick();
     m_exchange.tick();
     m_server->removeExpiredFollowers();
--- a/Tests/LibDistribution/TestRestoredStore.cpp
+++ b/Tests/LibDistribution/TestRestoredStore.cpp
@@ -137,19 +137,18 @@
 public:
     RestoredStoreFixture()
     {
-        start();
+        m_balancers[Reader] = std::make_shared<Balancer>(m_clock, Distribution::FollowerOptions {});
+        startFollower();
         store.write("a", "1");
         store.write("b", "1");
         runFor(ApplyTime);
     }
 
-    /// Starts both balancers with empty memory.
-    void start()
+    /// Starts the follower, or starts it again with empty memory.
+    void startFollower()
     {
-        m_events.clear();
-        m_balancers[Reader] = std::make_unique<Balancer>(m_clock, Distribution::FollowerOptions {});
-        m_balancers[Follower] = std::make_unique<Balancer>(
-            m_clock, Distribution::FollowerOptions { .preferredPeers = { ReaderAddress } });
+        Distribution::FollowerOptions options { .preferredPeers = { ReaderAddress }, .listingHoldoff = 200ms };
+        m_balancers[Follower] = std::make_shared<Balancer>(m_clock, std::move(options));
     }
 
     void runFor(milliseconds duration)
@@ -163,7 +162,8 @@
             }
             for (auto& balancer : m_balancers) {
                 if (auto request = balancer->follower.nextRequest())
-                    send(*balancer, *request);
+                    send(balancer, *request);
+                balancer->follower.tick();
                 balancer->feed.tick();
             }
         }
@@ -180,6 +180,7 @@
     }
 
     Values valuesOf(std::size_t balancer) const { return m_balancers[balancer]->values; }
+    unsigned changesOf(std::size_t balancer) const { return m_balancers[balancer]->changes; }
 
     static constexpr std::size_t Reader = 0;
     static constexpr std::size_t Follower = 1;
@@ -188,6 +189,7 @@
     struct Balancer {
         Balancer(Core::Clock const& clock, Distribution::FollowerOptions options)
             : replica([this](Item const& item) {
+                ++changes;
                 if (item.value)
                     values.insert_or_assign(item.key, *item.value);
                 else
@@ -205,19 +207,23 @@
         }
 
         Values values;
+        unsigned changes { 0 };
         Distribution::ItemReplica replica;
         Distribution::StoreFollower follower;
         Distribution::ReplicaFeed feed;
     };
 
-    void send(Balancer& balancer, Distribution::StoreRequest const& request)
+    void send(std::shared_ptr<Balancer> const& sender, Distribution::StoreRequest const& request)
     {
-        StoreCallback done = [this, &balancer](auto answer, auto failure, auto const&) {
-            m_events.emplace(m_clock.now() + StoreDelay, [&balancer, answer, failure] {
+        StoreCallback done = [this, sender = std::weak_ptr { sender }](auto answer, auto failure, auto const&) {
+            m_events.emplace(m_clock.now() + StoreDelay, [sender, answer, failure] {
+                auto balancer = sender.lock();
+                if (!balancer)
+                    return;
                 if (answer)
-                    balancer.follower.handleAnswer(*answer);
+                    balancer->follower.handleAnswer(*answer);
                 else
-                    balancer.follower.handleFailure(failure);
+                    balancer->follower.handleFailure(failure);
             });
         };
         if (!request.peer) {
@@ -245,7 +251,7 @@
 
     Core::ManualClock m_clock;
     std::multimap<Core::TimePoint, std::function<void()>> m_events;
-    std::array<std::unique_ptr<Balancer>, 2> m_balancers;
+    std::array<std::shared_ptr<Balancer>, 2> m_balancers;
 
 public:
     RestorableStore store { m_clock };
@@ -282,6 +288,55 @@
     }
 }
 
+BOOST_DATA_TEST_CASE(
+    KeyThatTheCopyLacksIsKeptUntilItIsWrittenAgain, boost::unit_test::data::make({ true, false }), isWrittenAgain)
+{
+    // Guards against opens to a zone that operators took out of service, and against a service without upstreams,
+    // because the copy was made before they were written.
+    store.copy();
+    store.write("evacuated", "");
+    runFor(ApplyTime);
+    restoreAfter(2s);
+    for (auto balancer : { Reader, Follower })
+        BOOST_TEST(valuesOf(balancer).contains("evacuated"));
+    runFor(1s);
+    for (auto balancer : { Reader, Follower })
+        BOOST_TEST(valuesOf(balancer).contains("evacuated"));
+    if (isWrittenAgain)
+        store.write("evacuated", "");
+    runFor(5s);
+    for (auto balancer : { Reader, Follower })
+        BOOST_TEST(valuesOf(balancer).contains("evacuated") == isWrittenAgain);
+}
+
+BOOST_AUTO_TEST_CASE(BalancerThatStartsAfterTheRestoreGetsTheKeptKeys)
+{
+    // Guards against a relay that sends kept keys as written in the new epoch, so that followers keep them for good.
+    store.copy();
+    store.write("evacuated", "");
+    runFor(ApplyTime);
+    restoreAfter(2s);
+    runFor(ApplyTime);
+    startFollower();
+    runFor(ApplyTime);
+    BOOST_TEST(valuesOf(Follower).contains("evacuated"));
+    runFor(5s);
+    BOOST_TEST(!valuesOf(Follower).contains("evacuated"));
+    BOOST_TEST(!valuesOf(Reader).contains("evacuated"));
+}
+
+BOOST_AUTO_TEST_CASE(UnchangedItemsAreNotAppliedAgain)
+{
+    // Guards against decoding a configuration of thousands of routes again, and against cold upstreams whose slow start
+    // is counted from the restore.
+    store.copy();
+    restoreAfter(2s);
+    auto changes = std::array { changesOf(Reader), changesOf(Follower) };
+    runFor(5s);
+    BOOST_TEST(changesOf(Reader) == changes[Reader]);
+    BOOST_TEST(changesOf(Follower) == changes[Follower]);
+}
+
 BOOST_AUTO_TEST_CASE(RestoredStoreIsNotListedWithoutPause)
 {
     // Guards against a reader that lists the store again and again, about 60 times a second, while its revisions are
