LibDistribution: Back off when no watch follows a listing

The platform's owners saw about 60 calls a second from the reader of a restored store, for 4 s.

Cause: an answer that the history is lost starts a listing at once and is not counted as a failure, so that a store which answers each watch that way is listed without a pause.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -146,6 +146,7 @@
             recordFailure(source, StoreFailure::Malformed);
             return;
         }
+        m_repeatedListings = 0;
         if (answer.age > m_options.maximumPeerAge) {
             recordFailure(source, StoreFailure::Stale);
             return;
@@ -173,6 +174,10 @@
     m_isListing = true;
     m_listedItems.clear();
     m_nextRequestAt = m_clock.now();
+    if (m_repeatedListings != 0)
+        m_nextRequestAt
+            += jitteredBackoff(m_options.initialStoreBackoff, m_options.maximumStoreBackoff, m_repeatedListings);
+    ++m_repeatedListings;
 }
 
 void StoreFollower::applyPage(StoreAnswer const& answer)
@@ -242,7 +247,6 @@
 
 milliseconds StoreFollower::backoffOf(Source const& source)
 {
-    static constexpr unsigned MaxDoublings = 10;
     auto first = m_options.initialStoreBackoff;
     auto maximum = m_options.maximumStoreBackoff;
     if (source.peer && isStartingFromPeers()) {
@@ -258,7 +262,13 @@
         first = m_options.initialHoldoffBackoff;
         maximum = m_options.maximumHoldoffBackoff;
     }
-    auto backoff = std::min(first * (1U << std::min(source.failures - 1, MaxDoublings)), maximum);
+    return jitteredBackoff(first, maximum, source.failures);
+}
+
+milliseconds StoreFollower::jitteredBackoff(milliseconds initial, milliseconds maximum, unsigned failures)
+{
+    static constexpr unsigned MaxDoublings = 10;
+    auto backoff = std::min(initial * (1U << std::min(failures - 1, MaxDoublings)), maximum);
     std::uniform_real_distribution<double> jitter { 0.5, 1.0 };
     return std::chrono::duration_cast<milliseconds>(backoff * jitter(m_random));
 }
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -162,13 +162,17 @@
     /// Whether this balancer has no view yet, has not begun to list the store, and should get a listing from a peer.
     bool isStartingFromPeers() const;
     Source& selectSource();
-    /// Starts a listing, because the replica misses changes that no watch returns.
+    /// Starts a listing, because the replica misses changes that no watch returns. If no watch was answered since the
+    /// last listing, waits as after failures of the store.
     void startListing();
     void applyPage(StoreAnswer const&);
     /// Returns false if a patch doesn't apply, so that the replica misses its change.
     bool applyChanges(StoreAnswer const&);
     void recordFailure(Source&, StoreFailure);
     std::chrono::milliseconds backoffOf(Source const&);
+    /// Returns a delay between half of and the whole backoff after so many failures in a row.
+    std::chrono::milliseconds jitteredBackoff(
+        std::chrono::milliseconds initial, std::chrono::milliseconds maximum, unsigned failures);
     static bool isStalePeer(Source const&);
     /// Whether any preferred peer answers but has a stale view.
     bool hasStalePeer() const;
@@ -190,6 +194,8 @@
     /// Whether a listing is needed, so that the next request to the store reads a page.
     bool m_isListing { true };
     bool m_isPageRequested { false };
+    /// Listings since the last answered watch, except the first one of the process.
+    unsigned m_repeatedListings { 0 };
     std::vector<Item> m_listedItems;
     /// The revision of the first page. Later pages may lack changes after it.
     Core::Revision m_listingRevision;
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -93,6 +93,25 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(ListingsThatNoWatchFollowsBackOff)
+{
+    // Guards against listing the store without a pause while each watch is answered with lost history.
+    std::size_t requests = 0;
+    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
+        auto request = follower.nextRequest();
+        if (!request)
+            continue;
+        ++requests;
+        if (std::holds_alternative<ListRequest>(request->call))
+            follower.handleAnswer({ .items = { item("a", 1) }, .asOf = Core::Revision { 10 } });
+        else
+            follower.handleFailure(StoreFailure::HistoryLost);
+    }
+    // A listing and a watch for each of the attempts that a store may get which refuses everything.
+    BOOST_TEST(requests >= 20U);
+    BOOST_TEST(requests <= 50U);
+}
+
 BOOST_AUTO_TEST_CASE(FailuresBackOffAndAreReportedOnce)
 {
     // Guards against retrying without a delay. Refused calls also count as calls to the store.
