LibDirectory: Keep the state of upstreams that a restored store has forgotten

Callers could have been sent to an upstream that drains or has left, and open flows could have been reset on a living one. Seen in tests only.

Cause: a greater revision was taken for a later state of the upstream. A store that was restored from a copy gives the earlier state a revision of a later epoch. If an upstream had restarted under its ID after the copy was made, writing its entry again then looked like another restart.

Change: in a later epoch, an entry of an earlier incarnation, or one that is active where the same incarnation was draining, changes the revision only. The next entry of that epoch is in force.

--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -27,6 +27,17 @@
     return true;
 }
 
+// A store that was restored from a copy lists upstreams as they were when the copy was made. An upstream that drains
+// doesn't become active again in the same incarnation.
+static bool isEarlierState(UpstreamEntry const& entry, UpstreamEntry const& known)
+{
+    if (entry.revision.epoch() == known.revision.epoch())
+        return false;
+    if (entry.incarnation != known.incarnation)
+        return entry.incarnation < known.incarnation;
+    return known.upstream.isDraining() && !entry.upstream.isDraining();
+}
+
 bool UpstreamDirectory::applyUpstream(UpstreamEntry entry)
 {
     auto record = m_records.find(entry.upstream.id);
@@ -36,6 +47,10 @@
     }
     if (entry.revision <= record->second->entry.revision)
         return false;
+    if (isEarlierState(entry, record->second->entry)) {
+        record->second->entry.revision = entry.revision;
+        return false;
+    }
     updateRecord(*record->second, std::move(entry));
     return true;
 }
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -69,7 +69,8 @@
 
     /// Returns false if the table isn't newer than the current one.
     bool applyRoutes(RouteTable);
-    /// Returns false if the entry isn't newer than the known one.
+    /// Returns false if the entry isn't newer than the known one, or if it shows an earlier state of the upstream in a
+    /// later epoch.
     bool applyUpstream(UpstreamEntry);
     /// Unlists an upstream whose entry was removed at this revision. Returns false if the upstream is unknown or
     /// a revision as new is known.
--- a/Tests/LibDirectory/TestUpstreamDirectory.cpp
+++ b/Tests/LibDirectory/TestUpstreamDirectory.cpp
@@ -1,5 +1,7 @@
 #include <LibDirectory/Directory.h>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace Chicorytally;
@@ -23,6 +25,41 @@
     return entry;
 }
 
+Directory::UpstreamEntry makeEntryOf(
+    std::uint64_t incarnation, Core::Revision revision, Model::UpstreamState state = Model::UpstreamState::Active)
+{
+    auto entry = makeEntry(1, revision.value());
+    entry.incarnation = Core::Incarnation { incarnation };
+    entry.revision = revision;
+    entry.upstream.state = state;
+    return entry;
+}
+
+/// What a restored store lists for an upstream that was known, and whether it gets new flows then.
+struct RestoredEntryCase {
+    char const* name;
+    std::uint64_t knownIncarnation;
+    Model::UpstreamState knownState;
+    bool wasRemoved;
+    std::uint64_t listedIncarnation;
+    Model::UpstreamState listedState;
+    bool acceptsNewFlows;
+};
+
+std::ostream& operator<<(std::ostream& stream, RestoredEntryCase const& testCase) { return stream << testCase.name; }
+
+constexpr auto Active = Model::UpstreamState::Active;
+constexpr auto Draining = Model::UpstreamState::Draining;
+RestoredEntryCase const RestoredEntryCases[] {
+    { "drained after the copy was made", 7, Draining, false, 7, Active, false },
+    { "drained and left after the copy was made", 7, Draining, true, 7, Active, false },
+    { "drained before the copy was made", 7, Draining, false, 7, Draining, false },
+    { "lapsed after the copy was made", 7, Active, true, 7, Active, true },
+    { "restarted after the copy was made", 8, Active, false, 7, Draining, true },
+    { "restarted while the store was away", 7, Draining, false, 8, Active, true },
+    { "incarnation unknown", 0, Draining, false, 0, Active, false },
+};
+
 struct Fixture {
     Core::ManualClock clock;
     std::vector<std::string> events;
@@ -54,6 +91,36 @@
     BOOST_TEST(events.empty());
 }
 
+BOOST_DATA_TEST_CASE(RestoredEntryDoesNotUndoWhatIsKnown, boost::unit_test::data::make(RestoredEntryCases), testCase)
+{
+    // Guards against opens to an upstream that drains or has left, because a store that was restored from a copy lists
+    // it as it was before.
+    Core::Epoch former { 1 };
+    Core::Epoch restored { 2 };
+    directory.applyUpstream(makeEntryOf(testCase.knownIncarnation, Core::Revision { 40, former }, testCase.knownState));
+    if (testCase.wasRemoved)
+        directory.removeUpstream(Core::UpstreamId { 1 }, Core::Revision { 41, former });
+    directory.applyUpstream(
+        makeEntryOf(testCase.listedIncarnation, Core::Revision { 30, restored }, testCase.listedState));
+    BOOST_TEST(acceptsNewFlows(1) == testCase.acceptsNewFlows);
+    // What the upstream writes after the restore is in force in any case.
+    directory.applyUpstream(makeEntryOf(testCase.listedIncarnation, Core::Revision { 31, restored }));
+    BOOST_TEST(acceptsNewFlows(1));
+}
+
+BOOST_AUTO_TEST_CASE(RestoredEntryOfAFormerProcessIsNoRestart)
+{
+    // Guards against resets of an upstream's open flows when it restarted under its ID after the copy was made, and
+    // writes its entry again after the restore.
+    directory.applyUpstream(makeEntryOf(7, Core::Revision { 30, Core::Epoch { 1 } }));
+    directory.applyUpstream(makeEntryOf(8, Core::Revision { 40, Core::Epoch { 1 } }));
+    BOOST_TEST(events == std::vector<std::string> { "restarted u1" }, boost::test_tools::per_element());
+    events.clear();
+    directory.applyUpstream(makeEntryOf(7, Core::Revision { 30, Core::Epoch { 2 } }));
+    directory.applyUpstream(makeEntryOf(8, Core::Revision { 31, Core::Epoch { 2 } }));
+    BOOST_TEST(events.empty());
+}
+
 BOOST_AUTO_TEST_CASE(OlderRouteVersionIsIgnored)
 {
     // Guards against reverting to an older configuration.
