Tests: Check what balancers of different epochs tell each other

Cause: the order of revisions by epoch is used at four more places than the regression test reaches: pages of a listing, answers of an earlier epoch, relays and followers of different epochs, and requests of balancers of an earlier version, which tell no epoch.

Change: a case for each, and epochs in the round trip of a batch.

--- a/Tests/LibDistribution/TestReplicaFeed.cpp
+++ b/Tests/LibDistribution/TestReplicaFeed.cpp
@@ -1,5 +1,7 @@
 #include <LibDistribution/Distribution.h>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace Chicorytally;
@@ -72,6 +74,31 @@
     BOOST_TEST(feed.pendingRequestCount() == 0U);
 }
 
+BOOST_DATA_TEST_CASE(FollowerOfAnotherEpochGetsNoChanges, boost::unit_test::data::make({ 2, 3, 4 }), epoch)
+{
+    // Guards against changes that continue a history which the follower doesn't have, and against an old view for a
+    // follower that knows of a restore of the store.
+    replica.applyListing(
+        { { "c", "value", Core::Revision { 1, Core::Epoch { 3 } } } }, Core::Revision { 1, Core::Epoch { 3 } });
+    unsigned answers = 0;
+    std::shared_ptr<ItemBatch const> answer;
+    feed.request(
+        Core::Revision { 1, Core::Epoch { static_cast<std::uint64_t>(epoch) } }, 1s, encoding, [&](auto const& result) {
+            ++answers;
+            answer = result;
+        });
+    bool isAhead = epoch > 3;
+    bool isBehind = epoch < 3;
+    BOOST_TEST(answers == (isAhead || isBehind ? 1U : 0U));
+    BOOST_TEST((answer != nullptr) == isBehind);
+    if (isBehind) {
+        BOOST_TEST(answer->isListing);
+        // Keys that the restored store lacks are listed, too.
+        BOOST_TEST(answer->items.size() == 3U);
+        BOOST_TEST(answer->completeUpTo.epoch().value() == 3U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(WaitEndsWithoutAChange)
 {
     // Guards against a follower that can't distinguish a store without changes from a failed peer.
@@ -140,11 +167,12 @@
 
 BOOST_AUTO_TEST_CASE(BatchIsUnchangedByEncodingAndDecoding)
 {
-    // Guards against removals and binary values that are altered by encoding and decoding.
+    // Guards against removals, binary values and epochs that are altered by encoding and decoding.
     Messages::PeerKey key = *Messages::PeerKey::fromHex(std::string(64, 'a'));
-    ItemBatch sent { .items
-        = { item("a", 5, std::string { "\0\xff", 2 }), item("b", 6, std::nullopt), item("c", 7, "") },
-        .completeUpTo = Core::Revision { 9 },
+    ItemBatch sent { .items = { item("a", 5, std::string { "\0\xff", 2 }), item("b", 6, std::nullopt), item("c", 7, ""),
+                         { "d", "value", Core::Revision { 8, Core::Epoch { 3 } } },
+                         { "e", "value", Core::Revision { 12, Core::Epoch { 2 } } } },
+        .completeUpTo = Core::Revision { 9, Core::Epoch { 3 } },
         .age = 250ms,
         .isListing = true };
     auto bytes = Distribution::sealBatch(sent, key);
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -93,6 +93,30 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(PagesOfDifferentEpochsAreNotCombined)
+{
+    // Guards against a listing that is put together from before and after a restore of the store.
+    follower.nextRequest();
+    follower.handleAnswer(
+        { .items = { item("a", 1) }, .hasMore = true, .asOf = Core::Revision { 10, Core::Epoch { 1 } } });
+    follower.nextRequest();
+    follower.handleAnswer({ .items = { item("b", 2) }, .asOf = Core::Revision { 5, Core::Epoch { 2 } } });
+    BOOST_TEST(changes == 0U);
+    BOOST_REQUIRE((nextAfterDelay() == Distribution::StoreRequest { std::nullopt, ListRequest {} }));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerOfAnEarlierEpochIsRejected)
+{
+    // Guards against changes of a history that is gone, from a peer that has not seen the restore of the store.
+    follower.nextRequest();
+    follower.handleAnswer({ .asOf = Core::Revision { 5, Core::Epoch { 2 } } });
+    nextAfterDelay();
+    follower.handleAnswer({ .items = { item("a", 9) }, .asOf = Core::Revision { 9, Core::Epoch { 1 } } });
+    BOOST_TEST(changes == 0U);
+    BOOST_TEST(lost == 1U);
+    BOOST_CHECK(replica.completeUpTo() == Core::Revision(5, Core::Epoch { 2 }));
+}
+
 BOOST_AUTO_TEST_CASE(ListingsThatNoWatchFollowsBackOff)
 {
     // Guards against listing the store without a pause while each watch is answered with lost history.
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -169,6 +169,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(RequestWithoutAnEpochGetsChanges)
+{
+    // Guards against a seed that sends the whole listing again and again to balancers of an earlier version, which
+    // don't tell the epoch of their revision.
+    std::string error;
+    auto loop = EventLoop::Loop::create(error);
+    Core::SystemClock clock;
+    FakeStore store;
+    Core::Epoch epoch { 2 };
+    store.items.front().revision = Core::Revision { 1, epoch };
+    auto address = freePort();
+    Node seed { *loop, clock, store, address, { address } };
+    seed.subscription->start();
+    EventLoop::HttpClient client { *loop, address };
+    struct Case {
+        std::string target;
+        bool isListing;
+    };
+    for (auto const& [target, isListing] : { Case { "/changes?after=1&wait_ms=0&port=1", false },
+             Case { "/changes?after=1&wait_ms=0&port=1&encoding=zstd", false },
+             Case { "/changes?after=1&wait_ms=0&port=1&epoch=2&encoding=zstd", false },
+             Case { "/changes?after=1&wait_ms=0&port=1&epoch=1&encoding=zstd", true } }) {
+        std::string body;
+        client.get(target, 1s, [&](auto response, auto) {
+            body = response ? response->body : "";
+            loop->stop();
+        });
+        loop->run();
+        auto batch = Distribution::openBatch(body, { .sealing = *Messages::PeerKey::fromHex(std::string(64, 'a')) });
+        BOOST_REQUIRE_MESSAGE(batch.has_value(), target);
+        BOOST_TEST(batch->isListing == isListing, target);
+        BOOST_CHECK(batch->completeUpTo == Core::Revision(1, epoch));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ReportReachesTheFollowersOfTheSeed)
 {
     // Guards against reports that are not forwarded between balancers that don't know each other.
