--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -12,6 +12,8 @@
 import os
 import pathlib
 import random
+import re
+import shutil
 import signal
 import socket
 import struct
@@ -19,7 +21,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 import zlib
 
@@ -491,10 +492,12 @@
                          "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000}}))
 
     def spawn(self):
-        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["balancer"]
-        environment = {"PATH": os.environ["PATH"], "CHICORYTALLY_NODE_FILE": str(self.path), **deploy["env"]}
+        deploy = (ROOT / "deploy" / "system.toml").read_text()
+        command = re.search(r'^run = "(.*)"$', deploy, re.MULTILINE).group(1)
+        variables = dict(re.findall(r'(\w+) = "([^"]*)"', re.search(r"^env = \{(.*)\}$", deploy, re.MULTILINE).group(1)))
+        environment = {"PATH": os.environ["PATH"], "CHICORYTALLY_NODE_FILE": str(self.path), **variables}
         with open(self.site.folder / f"{self.name}.log", "ab") as log:
-            self.process = subprocess.Popen(deploy["run"].split(), cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+            self.process = subprocess.Popen(command.split(), cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                             stdout=log, stderr=log)
         self.started, self.is_expected_to_end = time.monotonic(), False
         self.site.record(f"{self.name} starts as process {self.process.pid}")
@@ -566,29 +569,41 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record_file = open(self.case_folder / "record.txt", "w")
         self.begun = time.monotonic()
-        self.network = self.random.randint(20, 250)
         self.zones = []
         self.balancers, self.targets, self.consumers, self.routes, self.tasks = [], [], [], [], []
         self.failures, self.asked_for, self.runs, self.results, self.syn_sent = [], {}, {}, [], {}
         self.counts = {"sent": 0, "answered": 0, "run": 0}
         self.version = 0
         self.store = Store(self)
+        ports = self.choose_addresses(6)
         self.store_host = self.address(9, 1)
-        ports = self.free_ports(6)
         self.packet_port, self.ready_port, self.control_port, self.internal_port, self.store_port, self.target_port = ports
 
     def address(self, group, number):
         return f"127.{self.network}.{group}.{number}"
 
-    def free_ports(self, count):
-        first = self.random.randint(11, 28) * 1000
-        ports = [first + 40 * index for index in range(count)]
-        for port in ports:
-            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
-                with socket.socket(socket.AF_INET, kind) as probe:
+    def choose_addresses(self, count):
+        """Draws a range of addresses and ports that nobody uses. The metrics port is fixed in deploy/system.toml."""
+        for _ in range(50):
+            self.network = self.random.randint(20, 250)
+            first = self.random.randint(11000, 28000)
+            ports = [first + 40 * index for index in range(count)]
+            if all(self.is_free(port) for port in [*ports, 9180]):
+                return ports
+        raise OSError("no free ports")
+
+    def is_free(self, port):
+        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+            with socket.socket(socket.AF_INET, kind) as probe:
+                if kind == socket.SOCK_STREAM:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
                     probe.bind((self.address(1, 1), port))
-        return ports
+                    if kind == socket.SOCK_STREAM:
+                        probe.listen(1)
+                except OSError:
+                    return False
+        return True
 
     def record(self, text):
         self.record_file.write(f"{time.monotonic() - self.begun:9.4f} {text}\n")
@@ -821,7 +836,11 @@
 def main(case_folder, scenario, rule):
     """Plays the scenario. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    site = Site(case_folder, trouble)
+    try:
+        site = Site(case_folder, trouble)
+    except OSError as error:
+        print(f"the case could not run: {error!r}", file=sys.stderr)
+        return 2
 
     async def play():
         try:
@@ -840,6 +859,10 @@
         return 2
     finally:
         site.record_file.close()
+        if "KEEP_LOGS" in os.environ:
+            print(f"logs of the balancers are in {site.folder}")
+        else:
+            shutil.rmtree(site.folder, ignore_errors=True)
     broken = [text for name, text in site.failures if name == rule]
     others = [(name, text) for name, text in site.failures if name != rule]
     print(f"{rule}: {'broken' if broken else 'held'} ({len(broken)} observations), {site.counts}, trouble={int(trouble)}")
