LibRelay: Log each page of a listing

While a balancer lists the store, its log is silent until the listing is complete, so a listing that never ends can't be told from one whose pages time out or don't decode.

New: `listing_page` with the key after which the page begins, its items, its last key and whether more follow.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -109,8 +109,7 @@
     m_requestStartedAt = m_clock.now();
     m_isPageRequested = m_isListing && !source.peer;
     if (m_isPageRequested)
-        return StoreRequest { std::nullopt,
-            ListRequest { m_listedItems.empty() ? std::string {} : m_listedItems.back().key } };
+        return StoreRequest { std::nullopt, ListRequest { lastListedKey() } };
     // A peer answers a watch from the invalid revision immediately with a complete listing.
     auto after = m_isListing ? Core::Revision {} : m_replica.completeUpTo();
     // A listing never waits. A source that failed before must answer immediately, so that another failure is noticed
@@ -119,6 +118,8 @@
     return StoreRequest { source.peer, WatchRequest { after, wait } };
 }
 
+std::string StoreFollower::lastListedKey() const { return m_listedItems.empty() ? "" : m_listedItems.back().key; }
+
 std::optional<milliseconds> StoreFollower::nextRequestDelay() const
 {
     if (m_requestedSource)
@@ -182,6 +183,8 @@
 
 void StoreFollower::applyPage(StoreAnswer const& answer)
 {
+    if (m_hooks.pageRead)
+        m_hooks.pageRead(lastListedKey(), answer);
     if (m_listedItems.empty())
         m_listingRevision = answer.asOf;
     if (answer.asOf.epoch() != m_listingRevision.epoch()) {
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -121,6 +121,8 @@
     std::function<void(std::optional<Core::Endpoint> const& peer)> sourceRegained;
     /// Called when a source no longer keeps the changes after the revision of the replica.
     std::function<void(std::optional<Core::Endpoint> const& peer, Core::Revision)> historyLost;
+    /// Called for each page of the store's listing that continues after the key.
+    std::function<void(std::string const& afterKey, StoreAnswer const&)> pageRead;
     /// Called when a complete listing of so many items was applied.
     std::function<void(std::optional<Core::Endpoint> const& peer, std::size_t items, Core::Revision asOf)> listed;
     /// Called when so many keys were removed because they were not written again after a restore of the store.
@@ -165,6 +167,8 @@
     /// Starts a listing, because the replica misses changes that no watch returns. If no watch was answered since the
     /// last listing, waits as after failures of the store.
     void startListing();
+    /// The key after which the next page of the listing begins; empty for the first page.
+    std::string lastListedKey() const;
     void applyPage(StoreAnswer const&);
     /// Returns false if a patch doesn't apply, so that the replica misses its change.
     bool applyChanges(StoreAnswer const&);
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -68,6 +68,13 @@
                 logEvent(Level::Info, "history_lost",
                     { { "source", sourceName(peer) }, { "complete_up_to", revision.value() } });
             },
+        .pageRead =
+            [](auto const& afterKey, auto const& page) {
+                logEvent(Level::Info, "listing_page",
+                    { { "after", afterKey }, { "items", page.items.size() },
+                        { "last", page.items.empty() ? "" : page.items.back().key },
+                        { "more", page.hasMore }, { "revision", page.asOf.value() } });
+            },
         .listed =
             [](auto const& peer, std::size_t items, Core::Revision asOf) {
                 logEvent(Level::Info, "listing_applied",
