Tests: Write spans until some are queued in StopWritesQueuedSpans

The product does what it says, so the test was wrong.

It now records until 100 spans are queued, and checks that stop() writes exactly these and that each other attempt was counted as dropped. That is stricter: before, a span that was neither written nor counted would have passed as long as one line was written.

--- a/Tests/LibTelemetry/TestTracer.cpp
+++ b/Tests/LibTelemetry/TestTracer.cpp
@@ -17,6 +17,11 @@
 
 static void ignore(std::string const&) { }
 
+static std::size_t spansIn(std::string const& line)
+{
+    return nlohmann::json::parse(line)["resourceSpans"][0]["scopeSpans"][0]["spans"].size();
+}
+
 BOOST_AUTO_TEST_CASE(HopsOfAFlowShareOneTrace)
 {
     // Guards against balancers that sample different flows or write the hops of a flow into different traces.
@@ -84,12 +89,17 @@
 BOOST_AUTO_TEST_CASE(StopWritesQueuedSpans)
 {
     // Guards against the loss of queued spans on a graceful stop.
-    std::size_t lines = 0;
-    Tracer tracer { { .sampledShare = 1 }, [&](auto const&) { ++lines; } };
+    static constexpr std::uint64_t SpanCount = 100;
+    std::uint64_t spans = 0;
+    Tracer tracer { { .sampledShare = 1 }, [&](auto const& line) { spans += spansIn(line); } };
     tracer.start();
-    tracer.record({ .flowHash = flowHash(1), .name = "packet" });
+    // While the tracer's thread holds the queue, record() drops a span and counts it.
+    std::uint64_t attempts = 0;
+    for (; tracer.recordedCount() < SpanCount; ++attempts)
+        tracer.record({ .flowHash = flowHash(attempts), .name = "packet" });
     tracer.stop();
-    BOOST_TEST(lines == 1u);
+    BOOST_TEST(spans == SpanCount);
+    BOOST_TEST(tracer.droppedCount() == attempts - SpanCount);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
