--- a/Libraries/LibEventLoop/HttpClient.cpp
+++ b/Libraries/LibEventLoop/HttpClient.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <new>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -39,6 +41,19 @@
     return found == headers.end() ? std::nullopt : std::optional<std::string_view> { found->value };
 }
 
+std::string encodeQueryValue(std::string_view value)
+{
+    if (value.empty())
+        return {};
+    static constexpr int SpaceAsPercent = 0;
+    std::unique_ptr<char, decltype(&std::free)> encoded {
+        evhttp_uriencode(value.data(), static_cast<ev_ssize_t>(value.size()), SpaceAsPercent), &std::free
+    };
+    if (!encoded)
+        throw std::bad_alloc {};
+    return encoded.get();
+}
+
 HttpClient::HttpClient(Loop& loop, Core::Endpoint server)
     : m_loop(loop)
     , m_server(server)
--- a/Libraries/LibEventLoop/HttpClient.h
+++ b/Libraries/LibEventLoop/HttpClient.h
@@ -43,6 +43,9 @@
 
 std::string_view toString(HttpError);
 
+/// Encodes a value for the query of a request's target: all bytes but the unreserved characters of RFC 3986 as %XX.
+std::string encodeQueryValue(std::string_view);
+
 /// Sends GET requests to one server over one connection, one request at a time. The connection is kept open between
 /// requests and re-established after an error, so that an unresponsive connection costs a single timeout.
 class HttpClient {
