LibDistribution: Fail a listing that does not advance

Cause: StoreFollower accepted every page. It kept all copies, so memory grew without a bound (one page of 0.8 MB some 50 times a second), and it neither logged the store as lost nor turned to a peer that has a listing.

Fix: a page that repeats a key of the listing fails it as `listing_stalled`, and so does an empty page that says that more follow. That one was taken for the end of the listing before, which removed all keys that were still to come. The listing starts again after the backoff, and peers are asked meanwhile. A listing's first pages no longer reset the count of failures: a store that failed at the same later page each time was called without a growing delay. Repeated keys are used rather than the order of keys, as nothing says how the store sorts them.

Tests: StoreFollower/ListingThatDoesNotAdvanceIsAFailure (a table of five kinds of page), ListingThatFailsAtTheSamePageBacksOff and EmptyPageIsNotTheEndOfAListing.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -19,6 +19,8 @@
         return "history_lost";
     case StoreFailure::Malformed:
         return "malformed";
+    case StoreFailure::ListingStalled:
+        return "listing_stalled";
     case StoreFailure::Stale:
         return "stale";
     }
@@ -132,12 +134,16 @@
     auto& source = *std::exchange(m_requestedSource, nullptr);
     auto epoch = m_replica.completeUpTo().epoch();
     if (answer.asOf.epoch() < epoch) {
-        m_listedItems.clear();
+        discardListing();
         recordFailure(source, StoreFailure::Stale);
         return;
     }
     if (m_isPageRequested) {
-        applyPage(answer);
+        if (!applyPage(answer)) {
+            discardListing();
+            recordFailure(source, StoreFailure::ListingStalled);
+            return;
+        }
     } else if (answer.asOf.epoch() != epoch && !answer.isListing) {
         // The watch continued a history that is gone, so the changes before its revision are unknown.
         startListing();
@@ -156,6 +162,9 @@
     if (m_replica.completeUpTo().epoch() != epoch)
         m_confirmationEnd = m_clock.now() + m_options.confirmationTime;
     m_hasPeerFailed = false;
+    // Until its last page, a listing may still fail. The backoff must grow if it fails at the same page each time.
+    if (m_isPageRequested && m_isListing)
+        return;
     if (std::exchange(source.failures, 0) != 0 && m_hooks.sourceRegained)
         m_hooks.sourceRegained(source.peer);
 }
@@ -173,7 +182,7 @@
 void StoreFollower::startListing()
 {
     m_isListing = true;
-    m_listedItems.clear();
+    discardListing();
     m_nextRequestAt = m_clock.now();
     if (m_repeatedListings != 0)
         m_nextRequestAt
@@ -181,7 +190,22 @@
     ++m_repeatedListings;
 }
 
-void StoreFollower::applyPage(StoreAnswer const& answer)
+void StoreFollower::discardListing()
+{
+    m_listedItems.clear();
+    m_listedKeys.clear();
+}
+
+bool StoreFollower::continuesListing(StoreAnswer const& answer)
+{
+    if (answer.hasMore && answer.items.empty())
+        return false;
+    // The order of the store's keys is its own affair, so a page that goes back is recognised by a key that it repeats.
+    return std::ranges::all_of(
+        answer.items, [this](Item const& item) { return m_listedKeys.insert(item.key).second; });
+}
+
+bool StoreFollower::applyPage(StoreAnswer const& answer)
 {
     if (m_hooks.pageRead)
         m_hooks.pageRead(lastListedKey(), answer);
@@ -190,18 +214,21 @@
     if (answer.asOf.epoch() != m_listingRevision.epoch()) {
         // The store was restored between two pages.
         startListing();
-        return;
+        return true;
     }
+    if (!continuesListing(answer))
+        return false;
     m_listedItems.insert(m_listedItems.end(), answer.items.begin(), answer.items.end());
     m_nextRequestAt = m_clock.now();
-    if (answer.hasMore && !answer.items.empty())
-        return;
+    if (answer.hasMore)
+        return true;
     m_isListing = false;
     m_replica.applyListing(m_listedItems, m_listingRevision);
     if (m_hooks.listed)
         m_hooks.listed(std::nullopt, m_listedItems.size(), m_listingRevision);
-    m_listedItems.clear();
+    discardListing();
     m_syncedAt = m_requestStartedAt;
+    return true;
 }
 
 bool StoreFollower::applyChanges(StoreAnswer const& answer)
@@ -228,7 +255,7 @@
 {
     auto& source = *std::exchange(m_requestedSource, nullptr);
     // Pages that were read at different times can't be combined, so the listing starts again.
-    m_listedItems.clear();
+    discardListing();
     if (failure == StoreFailure::HistoryLost) {
         if (m_hooks.historyLost)
             m_hooks.historyLost(source.peer, m_replica.completeUpTo());
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -3,6 +3,8 @@
 #include <LibCore/Core.h>
 #include <LibDistribution/ItemReplica.h>
 
+#include <absl/container/flat_hash_set.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -62,6 +64,8 @@
     HistoryLost,
     /// The answer could not be decoded.
     Malformed,
+    /// The page doesn't continue the listing: it has a key that was listed before, or no items although more follow.
+    ListingStalled,
     /// The peer's view is older than the limit, or the answer belongs to an epoch before that of the replica.
     Stale,
 };
@@ -167,9 +171,12 @@
     /// Starts a listing, because the replica misses changes that no watch returns. If no watch was answered since the
     /// last listing, waits as after failures of the store.
     void startListing();
+    void discardListing();
     /// The key after which the next page of the listing begins; empty for the first page.
     std::string lastListedKey() const;
-    void applyPage(StoreAnswer const&);
+    /// Returns false if the page doesn't continue the listing.
+    bool applyPage(StoreAnswer const&);
+    bool continuesListing(StoreAnswer const&);
     /// Returns false if a patch doesn't apply, so that the replica misses its change.
     bool applyChanges(StoreAnswer const&);
     void recordFailure(Source&, StoreFailure);
@@ -201,6 +208,7 @@
     /// Listings since the last answered watch, except the first one of the process.
     unsigned m_repeatedListings { 0 };
     std::vector<Item> m_listedItems;
+    absl::flat_hash_set<std::string> m_listedKeys;
     /// The revision of the first page. Later pages may lack changes after it.
     Core::Revision m_listingRevision;
     Core::TimePoint m_startedAt;
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -15,6 +15,22 @@
 
 Item item(std::string key, std::uint64_t revision) { return { std::move(key), "value", Core::Revision { revision } }; }
 
+struct StalledPage {
+    char const* name;
+    /// What the store answers to each request for a further page.
+    std::vector<Item> items;
+};
+
+std::ostream& operator<<(std::ostream& stream, StalledPage const& page) { return stream << page.name; }
+
+StalledPage const StalledPages[] {
+    { "last page again", { item("b", 2) } },
+    { "all pages again", { item("a", 1), item("b", 2) } },
+    { "an earlier key", { item("a", 1) } },
+    { "a key twice in one page", { item("c", 3), item("c", 3) } },
+    { "no items", {} },
+};
+
 struct Fixture {
     Core::ManualClock clock;
     std::size_t changes { 0 };
@@ -93,6 +109,64 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_DATA_TEST_CASE(ListingThatDoesNotAdvanceIsAFailure, boost::unit_test::data::make(StalledPages), testCase)
+{
+    // Guards against a listing that collects the same page for ever, until the process is over its memory limit.
+    std::size_t requests = 0;
+    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
+        auto request = follower.nextRequest();
+        if (!request)
+            continue;
+        ++requests;
+        bool isFirstPage = std::get<ListRequest>(request->call).afterKey.empty();
+        follower.handleAnswer({ .items = isFirstPage ? std::vector { item("a", 1), item("b", 2) } : testCase.items,
+            .hasMore = true,
+            .asOf = Core::Revision { 10 } });
+    }
+    // Two pages for each of the attempts that a store may get which refuses everything.
+    BOOST_TEST(requests >= 20U);
+    BOOST_TEST(requests <= 50U);
+    BOOST_TEST(changes == 0U);
+    BOOST_TEST(lost == 1U);
+
+    // The store answers well again.
+    BOOST_REQUIRE((nextAfterDelay() == Distribution::StoreRequest { std::nullopt, ListRequest {} }));
+    follower.handleAnswer({ .items = { item("a", 1) }, .asOf = Core::Revision { 10 } });
+    BOOST_TEST(changes == 1U);
+    BOOST_TEST(regained == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ListingThatFailsAtTheSamePageBacksOff)
+{
+    // Guards against listing the store without a growing delay, because its first page is answered each time.
+    std::size_t requests = 0;
+    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
+        auto request = follower.nextRequest();
+        if (!request)
+            continue;
+        ++requests;
+        if (std::get<ListRequest>(request->call).afterKey.empty())
+            follower.handleAnswer({ .items = { item("a", 1) }, .hasMore = true, .asOf = Core::Revision { 10 } });
+        else
+            follower.handleFailure(StoreFailure::Unreachable);
+    }
+    BOOST_TEST(requests >= 20U);
+    BOOST_TEST(requests <= 50U);
+    BOOST_TEST(lost == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EmptyPageIsNotTheEndOfAListing)
+{
+    // Guards against removing all keys that a listing would still have named.
+    completeListing();
+    follower.nextRequest();
+    follower.handleFailure(StoreFailure::HistoryLost);
+    BOOST_REQUIRE(follower.nextRequest().has_value());
+    follower.handleAnswer({ .items = {}, .hasMore = true, .asOf = Core::Revision { 30 } });
+    BOOST_TEST(changes == 1U);
+    BOOST_TEST(lost == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(PagesOfDifferentEpochsAreNotCombined)
 {
     // Guards against a listing that is put together from before and after a restore of the store.
