LibDirectory: Derive who holds an address from the entries and routes in force

Cause: UpstreamDirectory decided once, when an entry arrived, whether the upstream at the same address was superseded. While no routes are known every service counts as declared. A peer lists items by revision, so a configuration that was changed last arrives after all entries; another writer's entry of a service that nobody declares then took the address, and the routes that showed it undeclared changed nothing any more, nor did the removal of that entry.

Evidence, from the log of the restarted balancer: `upstream_unlisted superseded=1` for the living upstream, then `routes_applied former=0` in the same millisecond, then `flow_reset reason=upstream_gone`; no `superseded=1` on the balancers that kept running with the same entries. Ruled out: the store's listing (op/config comes before servers/), a restart seen in the entry (no `upstream_restarted`), and a failed probe (no `upstream_lost`).

Fix: the records at an address are kept together, and which of them are superseded is worked out again from their entries and the declared services whenever one of these changes, so the order of arrival no longer matters. The same cause on related paths, each with a test: a service that is withdrawn later keeps no address; a superseded upstream that moves no longer takes its former address away from the holder; a superseded upstream that is still registered returns when its successor's record expires; equal start times, as in a copy of an entry, supersede nothing.

Tests: UpstreamDirectory/AddressBelongsToTheSameUpstreamInAnyOrder (all six orders of routes, entry and foreign entry) and five more there, TokenBalancer/RestartedBalancerKeepsFlowsWhenTheRoutesArriveLast.

--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -15,14 +15,14 @@
 {
     if (table.version <= m_routes.version)
         return false;
-    bool servicesChanged = table.services != m_routes.services;
+    // Before the first routes, every service counts as declared.
+    bool declarationsChanged = m_routes.version == 0 || table.services != m_routes.services;
     m_routes = std::move(table);
-    if (!servicesChanged)
+    if (!declarationsChanged)
         return true;
-    // An entry may arrive before the route version that declares its service.
-    for (auto& [id, record] : m_records) {
-        if (record->isListed)
-            resolveAddressConflict(*record);
+    for (auto const& [address, records] : m_byAddress) {
+        if (records.size() > 1)
+            resolveAddress(address);
     }
     return true;
 }
@@ -64,48 +64,79 @@
     record.slowStartEnd = m_clock.now() + record.entry.slowStartRemaining;
     record.hasTokenCollision = !m_byToken.try_emplace(record.token, &record).second;
     m_byService[record.entry.service].push_back(&record);
-    resolveAddressConflict(record);
+    addToAddress(record);
 }
 
 void UpstreamDirectory::updateRecord(UpstreamRecord& record, UpstreamEntry entry)
 {
-    bool wasListed = record.isListed;
     bool isRestarted = entry.incarnation > record.entry.incarnation;
     if (entry.service != record.entry.service) {
         std::erase(m_byService[record.entry.service], &record);
         m_byService[entry.service].push_back(&record);
     }
-    if (entry.upstream.address != record.entry.upstream.address)
-        m_byAddress.erase(record.entry.upstream.address);
+    bool hasMoved = entry.upstream.address != record.entry.upstream.address;
+    if (hasMoved)
+        removeFromAddress(record);
     record.entry = std::move(entry);
     record.slowStartEnd = m_clock.now() + record.entry.slowStartRemaining;
-    record.isListed = true;
-    record.isSuperseded = false;
-    resolveAddressConflict(record);
+    record.isRegistered = true;
     if (isRestarted && m_hooks.restarted)
         m_hooks.restarted(record);
-    if (!wasListed && m_hooks.listedAgain)
-        m_hooks.listedAgain(record);
+    if (hasMoved)
+        addToAddress(record);
+    else
+        resolveAddress(record.entry.upstream.address);
+    listIfRegistered(record);
+}
+
+void UpstreamDirectory::addToAddress(UpstreamRecord& record)
+{
+    auto const& address = record.entry.upstream.address;
+    m_byAddress[address].push_back(&record);
+    resolveAddress(address);
 }
 
-void UpstreamDirectory::resolveAddressConflict(UpstreamRecord& record)
+void UpstreamDirectory::removeFromAddress(UpstreamRecord& record)
 {
+    auto position = m_byAddress.find(record.entry.upstream.address);
+    auto& records = position->second;
+    records.erase(std::ranges::find(records, &record));
+    if (records.empty())
+        m_byAddress.erase(position);
+    else
+        resolveAddress(record.entry.upstream.address);
+}
+
+void UpstreamDirectory::resolveAddress(Core::Endpoint const& address)
+{
+    auto const& records = m_byAddress.at(address);
     // An entry of an undeclared service must not abort the flows of the upstream at the same address.
-    if (!isDeclared(record.entry.service))
+    auto holdingIncarnation = Core::Incarnation {};
+    for (auto const* record : records) {
+        if (isDeclared(record->entry.service))
+            holdingIncarnation = std::max(holdingIncarnation, record->entry.incarnation);
+    }
+    for (auto* record : records)
+        setSuperseded(*record, record->entry.incarnation < holdingIncarnation);
+}
+
+void UpstreamDirectory::setSuperseded(UpstreamRecord& record, bool isSuperseded)
+{
+    if (std::exchange(record.isSuperseded, isSuperseded) == isSuperseded)
         return;
-    auto& holder = m_byAddress[record.entry.upstream.address];
-    auto* previous = holder;
-    // Entries may arrive out of order, so the address belongs to the process that started last.
-    if (previous && previous != &record && previous->entry.incarnation > record.entry.incarnation) {
-        record.isSuperseded = true;
+    if (isSuperseded)
         unlist(record);
+    else
+        listIfRegistered(record);
+}
+
+void UpstreamDirectory::listIfRegistered(UpstreamRecord& record)
+{
+    if (record.isListed || !record.isRegistered || record.isSuperseded)
         return;
-    }
-    holder = &record;
-    if (!previous || previous == &record || previous->isSuperseded)
-        return;
-    previous->isSuperseded = true;
-    unlist(*previous);
+    record.isListed = true;
+    if (m_hooks.listedAgain)
+        m_hooks.listedAgain(record);
 }
 
 bool UpstreamDirectory::removeUpstream(Core::UpstreamId id, Core::Revision revision)
@@ -114,6 +145,7 @@
     if (record == m_records.end() || revision <= record->second->entry.revision)
         return false;
     record->second->entry.revision = revision;
+    record->second->isRegistered = false;
     if (record->second->isListed)
         unlist(*record->second);
     return true;
@@ -141,7 +173,7 @@
 {
     std::vector<Core::UpstreamId> expired;
     for (auto const& [id, record] : m_records) {
-        if (!record->isListed && m_clock.now() - record->unlistedSince > m_options.retention)
+        if (!record->isRegistered && m_clock.now() - record->unlistedSince > m_options.retention)
             expired.push_back(id);
     }
     for (auto id : expired)
@@ -155,9 +187,7 @@
     std::erase(m_byService[pointer->entry.service], pointer);
     if (auto holder = m_byToken.find(pointer->token); holder != m_byToken.end() && holder->second == pointer)
         m_byToken.erase(holder);
-    auto const& address = pointer->entry.upstream.address;
-    if (auto holder = m_byAddress.find(address); holder != m_byAddress.end() && holder->second == pointer)
-        m_byAddress.erase(holder);
+    removeFromAddress(*pointer);
     m_records.erase(record);
 }
 
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <absl/container/inlined_vector.h>
 
 #include <chrono>
 #include <functional>
@@ -34,12 +35,14 @@
     UpstreamEntry entry;
     RoutingToken token { 0 };
     Core::TimePoint slowStartEnd;
-    /// False after the discovery service removed the entry. The record is kept for the flows that the upstream still
-    /// has.
+    /// False after the discovery service removed the entry.
+    bool isRegistered { true };
+    /// A process of a declared service that started later has this address, so this upstream's process has ended.
+    bool isSuperseded { false };
+    /// Whether the upstream is registered and not superseded. The record of one that isn't is kept for the flows that
+    /// it still has.
     bool isListed { true };
     Core::TimePoint unlistedSince;
-    /// Another upstream now listens at this address, so this upstream's process has ended.
-    bool isSuperseded { false };
     /// Another upstream, which was listed earlier, has the same token.
     bool hasTokenCollision { false };
 };
@@ -57,7 +60,7 @@
     std::function<void(UpstreamRecord const&)> restarted;
     /// The entry was removed, or another upstream now has its address.
     std::function<void(UpstreamRecord const&)> unlisted;
-    /// A removed entry was listed again.
+    /// A removed entry was listed again, or the upstream no longer counts as superseded.
     std::function<void(UpstreamRecord const&)> listedAgain;
 };
 
@@ -105,7 +108,13 @@
     bool isDeclared(Core::ServiceId) const;
     void addRecord(UpstreamEntry);
     void updateRecord(UpstreamRecord&, UpstreamEntry);
-    void resolveAddressConflict(UpstreamRecord&);
+    /// Finds out anew which of the upstreams at the address are superseded. The result depends only on the entries and
+    /// the routes in force, not on the order in which they arrived.
+    void resolveAddress(Core::Endpoint const&);
+    void setSuperseded(UpstreamRecord&, bool isSuperseded);
+    void addToAddress(UpstreamRecord&);
+    void removeFromAddress(UpstreamRecord&);
+    void listIfRegistered(UpstreamRecord&);
     void unlist(UpstreamRecord&);
     void removeRecord(Core::UpstreamId);
     bool hasRecentlyReturned(Core::ZoneId) const;
@@ -116,7 +125,8 @@
     RouteTable m_routes;
     absl::flat_hash_map<Core::UpstreamId, std::unique_ptr<UpstreamRecord>> m_records;
     absl::flat_hash_map<RoutingToken, UpstreamRecord*> m_byToken;
-    absl::flat_hash_map<Core::Endpoint, UpstreamRecord*> m_byAddress;
+    /// All records at an address, including those of upstreams that aren't listed. Seldom more than one.
+    absl::flat_hash_map<Core::Endpoint, absl::InlinedVector<UpstreamRecord*, 1>> m_byAddress;
     absl::flat_hash_map<Core::ServiceId, std::vector<UpstreamRecord const*>> m_byService;
     absl::flat_hash_set<Core::ZoneId> m_zonesOutOfService;
     absl::flat_hash_map<Core::ZoneId, Core::TimePoint> m_zoneReturnTimes;
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -23,27 +23,41 @@
     std::vector<std::uint64_t> probed;
     std::vector<std::pair<std::uint64_t, Load::ReportKind>> reports;
     std::vector<Core::FlowKey> resets;
-    Balancer::TokenBalancer balancer { clock, { .zone = LocalZone, .randomSeed = 1 },
-        { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
+    Balancer::TokenBalancer balancer { clock, { .zone = LocalZone, .randomSeed = 1 }, hooks(), metrics };
+
+    Fixture()
+    {
+        balancer.applyRoutes(routes());
+        addUpstream(1, LocalZone);
+        addUpstream(2, LocalZone);
+        addUpstream(3, RemoteZone);
+        balancer.setComplete(true);
+    }
+
+    Balancer::TokenBalancerHooks hooks()
+    {
+        return { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
             .report = [this](auto id, auto kind) { reports.emplace_back(id.value(), kind); },
             .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); },
-            .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; } },
-        metrics };
+            .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; } };
+    }
 
-    Fixture()
+    static Directory::RouteTable routes()
     {
         Directory::RouteTable table;
         table.version = 1;
         table.services.emplace(RegisterService, Directory::ServiceLimits {});
         table.routes.emplace(Address, Directory::Route { "r", Address, { { RegisterService, 1 } } });
-        balancer.applyRoutes(table);
-        addUpstream(1, LocalZone);
-        addUpstream(2, LocalZone);
-        addUpstream(3, RemoteZone);
-        balancer.setComplete(true);
+        return table;
     }
 
     void addUpstream(std::uint64_t id, Core::ZoneId zone, std::uint64_t revision = 1, std::string const& address = {})
+    {
+        balancer.applyUpstream(makeEntry(id, zone, revision, address));
+    }
+
+    static Directory::UpstreamEntry makeEntry(
+        std::uint64_t id, Core::ZoneId zone, std::uint64_t revision = 1, std::string const& address = {})
     {
         Directory::UpstreamEntry entry;
         entry.upstream.id = Core::UpstreamId { id };
@@ -54,7 +68,7 @@
         entry.service = RegisterService;
         entry.incarnation = Core::Incarnation { id };
         entry.revision = Core::Revision { revision };
-        balancer.applyUpstream(entry);
+        return entry;
     }
 
     Placement::TokenPacket packet(PacketKind kind, std::uint16_t port) const
@@ -247,6 +261,27 @@
     BOOST_CHECK(balancer.decide(data).verdict == Verdict::Reset);
 }
 
+BOOST_AUTO_TEST_CASE(RestartedBalancerKeepsFlowsWhenTheRoutesArriveLast)
+{
+    // Guards against resets of a living upstream's flows by a balancer that starts from a peer's listing, which has
+    // another writer's entry for the same address before the routes.
+    auto upstream = openAndRequest(1);
+    Balancer::TokenBalancer restarted { clock, { .zone = LocalZone, .randomSeed = 2 }, hooks(), metrics };
+    auto living = makeEntry(upstream, LocalZone);
+    restarted.applyUpstream(living);
+    auto foreign = makeEntry(9, LocalZone, 2, living.upstream.address.toString());
+    foreign.service = Directory::serviceId("stocktaking");
+    restarted.applyUpstream(foreign);
+    restarted.applyRoutes(routes());
+    restarted.setComplete(true);
+    auto request = packet(PacketKind::Data, 1);
+    request.token = Directory::routingToken(living.upstream.id);
+    BOOST_CHECK(restarted.decide(request).verdict == Verdict::Forward);
+    auto opened = restarted.decide(packet(PacketKind::Open, 2));
+    BOOST_REQUIRE(opened.verdict == Verdict::Forward);
+    BOOST_TEST(opened.upstream->entry.upstream.id.value() == upstream);
+}
+
 BOOST_AUTO_TEST_CASE(PausedProcessSuspectsNoUpstream)
 {
     // Guards against a resumed process that mistakes its own pause for unresponsive upstreams.
--- a/Tests/LibDirectory/TestUpstreamDirectory.cpp
+++ b/Tests/LibDirectory/TestUpstreamDirectory.cpp
@@ -60,6 +60,9 @@
     { "incarnation unknown", 0, Draining, false, 0, Active, false },
 };
 
+/// Orders in which the routes (r), the upstream's entry (u) and another writer's entry for its address (f) arrive.
+char const* const Arrivals[] { "ruf", "rfu", "urf", "ufr", "fru", "fur" };
+
 struct Fixture {
     Core::ManualClock clock;
     std::vector<std::string> events;
@@ -68,6 +71,15 @@
             .unlisted = [this](auto const& record) { events.push_back("unlisted " + record.entry.upstream.name); },
             .listedAgain = [this](auto const& record) { events.push_back("listed " + record.entry.upstream.name); } } };
 
+    /// Applies routes that declare only the register service.
+    void declareRegisterService(std::uint64_t version)
+    {
+        Directory::RouteTable table;
+        table.version = version;
+        table.services.emplace(RegisterService, Directory::ServiceLimits {});
+        directory.applyRoutes(table);
+    }
+
     bool acceptsNewFlows(std::uint64_t id)
     {
         return directory.acceptsNewFlows(*directory.find(Core::UpstreamId { id }));
@@ -191,6 +203,104 @@
     BOOST_TEST(acceptsNewFlows(2));
 }
 
+BOOST_DATA_TEST_CASE(AddressBelongsToTheSameUpstreamInAnyOrder,
+    boost::unit_test::data::make(Arrivals) * boost::unit_test::data::make({ false, true }), arrivals, isForeignRemoved)
+{
+    // Guards against a balancer that resets the flows of a living upstream, and avoids it for good, because an entry of
+    // an undeclared service arrived before the routes.
+    auto foreign = makeEntry(2, 2, "10.0.0.1:80");
+    foreign.service = Directory::serviceId("packs");
+    for (char arrival : std::string_view { arrivals }) {
+        if (arrival == 'r')
+            declareRegisterService(1);
+        else
+            directory.applyUpstream(arrival == 'f' ? foreign : makeEntry(1, 1));
+    }
+    if (isForeignRemoved)
+        directory.removeUpstream(Core::UpstreamId { 2 }, Core::Revision { 3 });
+    BOOST_TEST(acceptsNewFlows(1));
+    BOOST_TEST(!directory.find(Core::UpstreamId { 1 })->isSuperseded);
+    BOOST_TEST(!acceptsNewFlows(2));
+    // The upstream's next entry and its removal find it as usual.
+    clock.advance(200s);
+    directory.sweep();
+    directory.applyUpstream(makeEntryOf(1, Core::Revision { 4 }));
+    BOOST_TEST(acceptsNewFlows(1));
+    directory.removeUpstream(Core::UpstreamId { 1 }, Core::Revision { 5 });
+    BOOST_TEST(events.back() == "unlisted u1");
+}
+
+BOOST_AUTO_TEST_CASE(ServiceThatIsNoLongerDeclaredHoldsNoAddress)
+{
+    // Guards against avoiding a living upstream for good, after the routes have withdrawn the service of the entry that
+    // superseded it.
+    Directory::RouteTable table;
+    table.version = 1;
+    table.services.emplace(RegisterService, Directory::ServiceLimits {});
+    auto foreign = makeEntry(2, 2, "10.0.0.1:80");
+    foreign.service = Directory::serviceId("packs");
+    table.services.emplace(foreign.service, Directory::ServiceLimits {});
+    directory.applyRoutes(table);
+    directory.applyUpstream(makeEntry(1, 1));
+    directory.applyUpstream(foreign);
+    BOOST_TEST(!acceptsNewFlows(1));
+    declareRegisterService(2);
+    BOOST_TEST(acceptsNewFlows(1));
+    BOOST_TEST(events.back() == "listed u1");
+}
+
+BOOST_AUTO_TEST_CASE(SupersededUpstreamThatMovesLeavesTheAddressToItsHolder)
+{
+    // Guards against packets for a former upstream at an address that was reused once more.
+    directory.applyUpstream(makeEntry(1, 1));
+    directory.applyUpstream(makeEntry(2, 2, "10.0.0.1:80"));
+    directory.applyUpstream(makeEntry(1, 3, "10.0.0.9:80"));
+    BOOST_TEST(acceptsNewFlows(1));
+    directory.applyUpstream(makeEntry(3, 4, "10.0.0.1:80"));
+    BOOST_TEST(directory.find(Core::UpstreamId { 2 })->isSuperseded);
+    BOOST_TEST(acceptsNewFlows(3));
+}
+
+BOOST_AUTO_TEST_CASE(SupersededUpstreamWithAnEntryOutlivesItsSuccessor)
+{
+    // Guards against avoiding a living upstream for good, after another writer's entry for its address was removed.
+    directory.applyUpstream(makeEntry(1, 1));
+    directory.applyUpstream(makeEntry(2, 2, "10.0.0.1:80"));
+    directory.removeUpstream(Core::UpstreamId { 2 }, Core::Revision { 3 });
+    // The process at the address has ended if the later one was real, so its end proves nothing about the former.
+    BOOST_TEST(!acceptsNewFlows(1));
+    clock.advance(121s);
+    directory.sweep();
+    BOOST_TEST(!directory.find(Core::UpstreamId { 2 }));
+    BOOST_REQUIRE(directory.find(Core::UpstreamId { 1 }));
+    BOOST_TEST(acceptsNewFlows(1));
+}
+
+BOOST_AUTO_TEST_CASE(UpdateOfTheHolderIsNoNewConflict)
+{
+    // Guards against listing a former upstream for a moment with each report of its successor.
+    directory.applyUpstream(makeEntry(1, 1));
+    auto successor = makeEntry(2, 2, "10.0.0.1:80");
+    directory.applyUpstream(successor);
+    events.clear();
+    successor.upstream.state = Draining;
+    successor.revision = Core::Revision { 3 };
+    directory.applyUpstream(successor);
+    BOOST_TEST(events.empty());
+    BOOST_TEST(!acceptsNewFlows(1));
+}
+
+BOOST_AUTO_TEST_CASE(EqualStartTimesSupersedeNothing)
+{
+    // Guards against resets of a living upstream's flows because of a copy of its entry under another key.
+    directory.applyUpstream(makeEntry(1, 1));
+    auto copy = makeEntry(2, 2, "10.0.0.1:80");
+    copy.incarnation = Core::Incarnation { 1 };
+    directory.applyUpstream(copy);
+    BOOST_TEST(acceptsNewFlows(1));
+    BOOST_TEST(events.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdIsReported)
 {
     // Guards against keeping flows of a process that has ended.
