LibTelemetry: Cut long values in log lines

An entry of 1 MB with a number of as many digits was rejected, but the line that says so was lost: the JSON parser's message quotes the number, and the line didn't fit into the log's buffer of 256 KB. A smaller value would have taken the room of other lines.

Values of more than 1 KiB are cut now, at a character's boundary, for all events. Ruled out as a place for the fix: the decoder of entries, as peers' and operators' texts get into the log as well.

Test: BoundedLog/LongValuesAreCut, 3 failed checks before (a line of 1,048,625 bytes), none now.

--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -135,6 +135,20 @@
     return quoted + '"';
 }
 
+// A message of a parser may quote the whole of a value that somebody else has written.
+static constexpr std::size_t MaximumValueBytes = 1024;
+
+static std::string truncate(std::string const& value)
+{
+    if (value.size() <= MaximumValueBytes)
+        return value;
+    auto size = MaximumValueBytes;
+    // Doesn't split a character of UTF-8, whose further bytes are 10xxxxxx.
+    while (size > 0 && (static_cast<unsigned char>(value[size]) & 0xc0) == 0x80)
+        --size;
+    return value.substr(0, size) + "...";
+}
+
 std::string formatEvent(std::string_view event, std::initializer_list<Field> fields)
 {
     std::string line { "event=" };
@@ -143,7 +157,8 @@
         line += ' ';
         line += field.key;
         line += '=';
-        line += needsQuotes(field.value) ? quote(field.value) : field.value;
+        auto value = truncate(field.value);
+        line += needsQuotes(value) ? quote(value) : value;
     }
     return line;
 }
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -46,7 +46,8 @@
 /// Parses "debug", "info", "warn" or "error"; returns false for any other text.
 bool parseLevel(std::string_view text, Level&);
 
-/// Writes `event=NAME key=value ...`. Values with spaces, quotes or control characters are quoted and escaped.
+/// Writes `event=NAME key=value ...`. Values with spaces, quotes or control characters are quoted and escaped,
+/// and those of more than 1 KiB are cut.
 void logEvent(Level, std::string_view event, std::initializer_list<Field> = {});
 
 /// Returns the line that logEvent() writes, without time and level.
--- a/Tests/LibTelemetry/TestBoundedLog.cpp
+++ b/Tests/LibTelemetry/TestBoundedLog.cpp
@@ -65,4 +65,23 @@
     BOOST_TEST(limiter.admit("flood"));
 }
 
+BOOST_AUTO_TEST_CASE(LongValuesAreCut)
+{
+    // Guards against losing the line that names a rejected entry, because it quotes the entry and is larger than the
+    // buffer of the log.
+    static constexpr std::size_t EntryBytes = std::size_t { 1024 } * 1024;
+    auto line = Telemetry::formatEvent(
+        "item_rejected", { { "key", "servers/i-1" }, { "cause", std::string(EntryBytes, '9') }, { "last", 1 } });
+    BOOST_TEST(line.starts_with("event=item_rejected key=servers/i-1 cause=999"));
+    BOOST_TEST(line.ends_with("9... last=1"));
+    BOOST_TEST(line.size() < 1200U);
+    // Characters of UTF-8 stay whole.
+    std::string euros;
+    while (euros.size() < EntryBytes)
+        euros += "\xe2\x82\xac";
+    BOOST_TEST(Telemetry::formatEvent("e", { { "k", euros } }).ends_with("\xe2\x82\xac..."));
+    std::string const longest(1024, 'x');
+    BOOST_TEST(Telemetry::formatEvent("e", { { "k", longest } }) == "event=e k=" + longest);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
