platform: Reject an entry with a field that is missing, of another type or out of range

Operators of similar systems report that one odd entry among those of the targets, with a number too large or a port out of range, ended their balancers or stopped them.

Cause: decodeUpstream() relied on the JSON library's conversions, which accept booleans and fractions and wrap numbers that don't fit; a large `warmup_left_ms` then overflowed the clock's arithmetic, and a large `born` would have kept the address of a living upstream for good. A missing `born` counted as 0, so that the upstream's next report looked like a restart, and `version` and `seq` weren't looked at.

Fix: all fields of an entry are required, with their types and ranges. Only `warmup_left_ms` may have a fraction, as the platform says of no other number than `born` that it is whole, and `slots` and `seq` are counts. Addresses must be IPv4: the packet socket reaches no others.

Tests: StoreItems/OddFieldMakesAnEntryMalformed (36 fields) and UnusualFieldIsAccepted.

--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -5,6 +5,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <nlohmann/json.hpp>
+
 using namespace Chicorytally;
 using namespace std::chrono_literals;
 
@@ -101,6 +103,65 @@
     { "op/config", R"({"version":1})" },
 };
 
+struct FieldCase {
+    char const* field;
+    /// JSON text; null for a missing field.
+    char const* value;
+};
+
+std::ostream& operator<<(std::ostream& stream, FieldCase const& testCase)
+{
+    return stream << testCase.field << ": " << (testCase.value ? testCase.value : "missing");
+}
+
+FieldCase const OddFields[] {
+    { "service", nullptr },
+    { "service", "7" },
+    { "addr", nullptr },
+    { "addr", R"("10.128.0.9:65536")" },
+    { "addr", R"("10.128.0.9:99999999999999999999")" },
+    { "addr", R"("10.128.0.9:-1")" },
+    { "addr", R"("10.128.0.9:0")" },
+    { "addr", R"("10.128.0.9")" },
+    { "addr", R"("[fd00::9]:8080")" },
+    { "addr", "8080" },
+    { "zone", nullptr },
+    { "zone", "{}" },
+    { "version", nullptr },
+    { "version", "1" },
+    { "slots", nullptr },
+    { "slots", "true" },
+    { "slots", "-1" },
+    { "slots", "2.5" },
+    { "slots", "4294967298" },
+    { "slots", "1e300" },
+    { "state", nullptr },
+    { "state", "null" },
+    { "warmup_left_ms", nullptr },
+    { "warmup_left_ms", "false" },
+    { "warmup_left_ms", "-1" },
+    { "warmup_left_ms", "9223372036854775807" },
+    { "warmup_left_ms", "1e300" },
+    { "seq", nullptr },
+    { "seq", R"("4")" },
+    { "seq", "-4" },
+    { "born", nullptr },
+    { "born", "true" },
+    { "born", "-1" },
+    { "born", "1700000000123.5" },
+    { "born", "18446744073709551615" },
+    { "born", "1e300" },
+};
+
+FieldCase const UnusualFields[] {
+    { "warmup_left_ms", "700.25" },
+    { "warmup_left_ms", "0" },
+    { "seq", "0" },
+    { "slots", "1" },
+    { "slots", "4294967295" },
+    { "rack", "[[[]]]" },
+};
+
 BOOST_DATA_TEST_CASE(MalformedItemsYieldNoEntry, boost::unit_test::data::make(MalformedItems), item)
 {
     // Guards against a malformed entry that ends the process or is used partially decoded.
@@ -111,6 +172,33 @@
     BOOST_TEST(!error.empty());
 }
 
+BOOST_DATA_TEST_CASE(OddFieldMakesAnEntryMalformed, boost::unit_test::data::make(OddFields), odd)
+{
+    // Guards against new flows to the upstream of another writer's entry, which has one field that is missing, of another
+    // type or out of range, and is right otherwise.
+    auto value = nlohmann::json::parse(UpstreamValue);
+    if (odd.value)
+        value[odd.field] = nlohmann::json::parse(odd.value);
+    else
+        value.erase(odd.field);
+    std::string error;
+    auto change = decode("servers/i-7f3a", value.dump(), error);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(!std::get<Platform::UpstreamChange>(*change).entry.has_value());
+    BOOST_TEST(!error.empty());
+}
+
+BOOST_DATA_TEST_CASE(UnusualFieldIsAccepted, boost::unit_test::data::make(UnusualFields), unusual)
+{
+    // Guards against dropping an upstream for a value that the platform permits.
+    auto value = nlohmann::json::parse(UpstreamValue);
+    value[unusual.field] = nlohmann::json::parse(unusual.value);
+    std::string error;
+    auto change = decode("servers/i-7f3a", value.dump(), error);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(std::get<Platform::UpstreamChange>(*change).entry.has_value(), error);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedEntryReplacesThePreviousOne)
 {
     // Guards against new flows to an upstream whose entry was overwritten with a malformed one.
