--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -153,6 +153,30 @@
     { "born", "1e300" },
 };
 
+/// The store's limit for a value.
+constexpr std::size_t LargestValueBytes = 1'048'576;
+
+/// A value that begins with the head and repeats the unit up to its size.
+struct LargeEntry {
+    std::string head;
+    std::string unit;
+    std::string tail;
+};
+
+std::ostream& operator<<(std::ostream& stream, LargeEntry const& entry) { return stream << entry.head << entry.unit; }
+
+LargeEntry const LargeEntries[] {
+    { "", "[", "" },
+    { "", R"({"a":)", "" },
+    { R"({"slots":)", "[", "" },
+    { R"({"slots":)", "9", "}" },
+    { R"({"slots":1e)", "9", "}" },
+    { R"({"addr":"10.0.0.1:)", "9", "\"}" },
+    { R"({"state":")", "x", "\"}" },
+    { "", "{}", "" },
+    { "", "\xff", "" },
+};
+
 FieldCase const UnusualFields[] {
     { "warmup_left_ms", "700.25" },
     { "warmup_left_ms", "0" },
@@ -199,6 +223,34 @@
     BOOST_TEST(std::get<Platform::UpstreamChange>(*change).entry.has_value(), error);
 }
 
+BOOST_DATA_TEST_CASE(LargeEntryIsNotParsed, boost::unit_test::data::make(LargeEntries), large)
+{
+    // Guards against an entry of another writer that exhausts the memory of each process that reads it, or stops its
+    // packet path.
+    auto value = large.head;
+    while (value.size() < LargestValueBytes)
+        value += large.unit;
+    std::string error;
+    auto change = decode("servers/i-7f3a", value + large.tail, error);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(!std::get<Platform::UpstreamChange>(*change).entry.has_value());
+    BOOST_TEST(error.find("bytes, at most") != std::string::npos, error.substr(0, 200));
+}
+
+BOOST_DATA_TEST_CASE(NestedEntryIsRejected, boost::unit_test::data::make(LargeEntries), nested)
+{
+    // Guards against an entry below the limit of size that is parsed recursively and overflows the stack.
+    static constexpr std::size_t Bytes = 60'000;
+    auto value = nested.head;
+    while (value.size() < Bytes)
+        value += nested.unit;
+    std::string error;
+    auto change = decode("servers/i-7f3a", value + nested.tail, error);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(!std::get<Platform::UpstreamChange>(*change).entry.has_value());
+    BOOST_TEST(!error.empty());
+}
+
 BOOST_AUTO_TEST_CASE(MalformedEntryReplacesThePreviousOne)
 {
     // Guards against new flows to an upstream whose entry was overwritten with a malformed one.
