LibDirectory: Give a colliding token to the process that started first

Two upstreams whose IDs have the same 32-bit token were told apart by arrival, so balancers that listed them in different order sent packets of the same flow to different upstreams; and the second one got no new flows for good, even after the first was forgotten.

Fix: all records with a token are kept, and the one whose process started first holds it. It may have flows, and all balancers that know both entries agree. The next one gets it when the record of the first expires.

Test: UpstreamDirectory/CollidingTokenBelongsToTheSameUpstreamInAnyOrder, 5 failed checks before, none now.

--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -62,7 +62,8 @@
     record.entry = std::move(entry);
     record.token = routingToken(id);
     record.slowStartEnd = m_clock.now() + record.entry.slowStartRemaining;
-    record.hasTokenCollision = !m_byToken.try_emplace(record.token, &record).second;
+    m_byToken[record.token].push_back(&record);
+    resolveToken(record.token);
     m_byService[record.entry.service].push_back(&record);
     addToAddress(record);
 }
@@ -80,6 +81,7 @@
     record.entry = std::move(entry);
     record.slowStartEnd = m_clock.now() + record.entry.slowStartRemaining;
     record.isRegistered = true;
+    resolveToken(record.token);
     if (isRestarted && m_hooks.restarted)
         m_hooks.restarted(record);
     if (hasMoved)
@@ -89,6 +91,27 @@
     listIfRegistered(record);
 }
 
+void UpstreamDirectory::resolveToken(RoutingToken token)
+{
+    auto& records = m_byToken.at(token);
+    std::ranges::sort(records, {}, [](auto const* record) {
+        return std::pair { record->entry.incarnation, record->entry.upstream.id };
+    });
+    for (auto* record : records)
+        record->hasTokenCollision = record != records.front();
+}
+
+void UpstreamDirectory::removeFromToken(UpstreamRecord& record)
+{
+    auto position = m_byToken.find(record.token);
+    auto& records = position->second;
+    records.erase(std::ranges::find(records, &record));
+    if (records.empty())
+        m_byToken.erase(position);
+    else
+        resolveToken(record.token);
+}
+
 void UpstreamDirectory::addToAddress(UpstreamRecord& record)
 {
     auto const& address = record.entry.upstream.address;
@@ -185,8 +208,7 @@
     auto record = m_records.find(id);
     auto* pointer = record->second.get();
     std::erase(m_byService[pointer->entry.service], pointer);
-    if (auto holder = m_byToken.find(pointer->token); holder != m_byToken.end() && holder->second == pointer)
-        m_byToken.erase(holder);
+    removeFromToken(*pointer);
     removeFromAddress(*pointer);
     m_records.erase(record);
 }
@@ -211,8 +233,8 @@
 
 UpstreamRecord const* UpstreamDirectory::findByToken(RoutingToken token) const
 {
-    auto record = m_byToken.find(token);
-    return record == m_byToken.end() ? nullptr : record->second;
+    auto records = m_byToken.find(token);
+    return records == m_byToken.end() ? nullptr : records->second.front();
 }
 
 std::vector<UpstreamRecord const*> const& UpstreamDirectory::upstreamsOf(Core::ServiceId service) const
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -43,7 +43,7 @@
     /// it still has.
     bool isListed { true };
     Core::TimePoint unlistedSince;
-    /// Another upstream, which was listed earlier, has the same token.
+    /// Another upstream, whose process started earlier, has the same token.
     bool hasTokenCollision { false };
 };
 
@@ -108,6 +108,11 @@
     bool isDeclared(Core::ServiceId) const;
     void addRecord(UpstreamEntry);
     void updateRecord(UpstreamRecord&, UpstreamEntry);
+    using RecordList = absl::InlinedVector<UpstreamRecord*, 1>;
+
+    /// Gives the token to the process that started first, as it may have flows.
+    void resolveToken(RoutingToken);
+    void removeFromToken(UpstreamRecord&);
     /// Finds out anew which of the upstreams at the address are superseded. The result depends only on the entries and
     /// the routes in force, not on the order in which they arrived.
     void resolveAddress(Core::Endpoint const&);
@@ -124,9 +129,10 @@
     DirectoryHooks m_hooks;
     RouteTable m_routes;
     absl::flat_hash_map<Core::UpstreamId, std::unique_ptr<UpstreamRecord>> m_records;
-    absl::flat_hash_map<RoutingToken, UpstreamRecord*> m_byToken;
+    /// All records with a token, the one that holds it first. Seldom more than one.
+    absl::flat_hash_map<RoutingToken, RecordList> m_byToken;
     /// All records at an address, including those of upstreams that aren't listed. Seldom more than one.
-    absl::flat_hash_map<Core::Endpoint, absl::InlinedVector<UpstreamRecord*, 1>> m_byAddress;
+    absl::flat_hash_map<Core::Endpoint, RecordList> m_byAddress;
     absl::flat_hash_map<Core::ServiceId, std::vector<UpstreamRecord const*>> m_byService;
     absl::flat_hash_set<Core::ZoneId> m_zonesOutOfService;
     absl::flat_hash_map<Core::ZoneId, Core::TimePoint> m_zoneReturnTimes;
--- a/Tests/LibDirectory/TestUpstreamDirectory.cpp
+++ b/Tests/LibDirectory/TestUpstreamDirectory.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace Chicorytally;
 using namespace std::chrono_literals;
 
@@ -63,6 +65,20 @@
 /// Orders in which the routes (r), the upstream's entry (u) and another writer's entry for its address (f) arrive.
 char const* const Arrivals[] { "ruf", "rfu", "urf", "ufr", "fru", "fur" };
 
+std::pair<std::uint64_t, std::uint64_t> idsWithEqualTokens()
+{
+    // Among 2^20 tokens of 32 bits, about 128 pairs are expected to be equal.
+    static constexpr std::uint64_t MaximumId = 1U << 20U;
+    std::map<Directory::RoutingToken, std::uint64_t> ids;
+    for (std::uint64_t id = 1; id < MaximumId; ++id) {
+        auto [known, isNew] = ids.emplace(Directory::routingToken(Core::UpstreamId { id }), id);
+        if (!isNew)
+            return { known->second, id };
+    }
+    BOOST_FAIL("no two IDs have the same token");
+    return {};
+}
+
 struct Fixture {
     Core::ManualClock clock;
     std::vector<std::string> events;
@@ -301,6 +317,32 @@
     BOOST_TEST(events.empty());
 }
 
+BOOST_DATA_TEST_CASE(
+    CollidingTokenBelongsToTheSameUpstreamInAnyOrder, boost::unit_test::data::make({ false, true }), isLaterFirst)
+{
+    // Guards against balancers that send packets with the same token to different upstreams, because the entries
+    // reached them in different order.
+    auto [earlierId, laterId] = idsWithEqualTokens();
+    auto earlier = makeEntry(earlierId, 1, "10.0.0.1:80");
+    auto later = makeEntry(laterId, 2, "10.0.0.2:80");
+    directory.applyUpstream(isLaterFirst ? later : earlier);
+    directory.applyUpstream(isLaterFirst ? earlier : later);
+    auto token = Directory::routingToken(Core::UpstreamId { earlierId });
+    BOOST_REQUIRE(directory.findByToken(token));
+    BOOST_TEST(directory.findByToken(token)->entry.upstream.id.value() == earlierId);
+    BOOST_TEST(acceptsNewFlows(earlierId));
+    BOOST_TEST(!acceptsNewFlows(laterId));
+
+    // Once the earlier one is forgotten, the later one can be used.
+    directory.removeUpstream(Core::UpstreamId { earlierId }, Core::Revision { 3 });
+    BOOST_TEST(!acceptsNewFlows(laterId));
+    clock.advance(121s);
+    directory.sweep();
+    BOOST_REQUIRE(directory.findByToken(token));
+    BOOST_TEST(directory.findByToken(token)->entry.upstream.id.value() == laterId);
+    BOOST_TEST(acceptsNewFlows(laterId));
+}
+
 BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdIsReported)
 {
     // Guards against keeping flows of a process that has ended.
