--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -201,8 +201,7 @@
     if (answer.hasMore && answer.items.empty())
         return false;
     // The order of the store's keys is its own affair, so a page that goes back is recognised by a key that it repeats.
-    return std::ranges::all_of(
-        answer.items, [this](Item const& item) { return m_listedKeys.insert(item.key).second; });
+    return std::ranges::all_of(answer.items, [this](Item const& item) { return m_listedKeys.insert(item.key).second; });
 }
 
 bool StoreFollower::applyPage(StoreAnswer const& answer)
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -72,8 +72,8 @@
             [](auto const& afterKey, auto const& page) {
                 logEvent(Level::Info, "listing_page",
                     { { "after", afterKey }, { "items", page.items.size() },
-                        { "last", page.items.empty() ? "" : page.items.back().key },
-                        { "more", page.hasMore }, { "revision", page.asOf.value() } });
+                        { "last", page.items.empty() ? "" : page.items.back().key }, { "more", page.hasMore },
+                        { "revision", page.asOf.value() } });
             },
         .listed =
             [](auto const& peer, std::size_t items, Core::Revision asOf) {
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -198,8 +198,8 @@
 
 BOOST_DATA_TEST_CASE(OddFieldMakesAnEntryMalformed, boost::unit_test::data::make(OddFields), odd)
 {
-    // Guards against new flows to the upstream of another writer's entry, which has one field that is missing, of another
-    // type or out of range, and is right otherwise.
+    // Guards against new flows to the upstream of another writer's entry, which has one field that is missing, of
+    // another type or out of range, and is right otherwise.
     auto value = nlohmann::json::parse(UpstreamValue);
     if (odd.value)
         value[odd.field] = nlohmann::json::parse(odd.value);
