LibDistribution: List the store when its changes are too large to be read

Cause: an answer of a watch over 4 MiB is dropped by the HTTP client, counted as an unreachable store, and the watch was sent again as it was. Ruled out: a time-out (four entries of 1 MB on loopback take milliseconds) and the relays, which wait for the same answer.

Fix: HttpClient reports a response that is too large as such, by libevent's reason for the failed request, and StoreFollower lists the store then, whose pages are limited. Listings that no answered watch follows back off, as before.

Tests: Http/ResponseThatIsTooLargeIsToldApart and StoreFollower/WatchWithATooLargeAnswerIsReplacedByAListing, each failed before; TooLargeAnswersBackOff held before as well.

--- a/Libraries/LibDistribution/StoreFollower.cpp
+++ b/Libraries/LibDistribution/StoreFollower.cpp
@@ -17,6 +17,8 @@
         return "refused";
     case StoreFailure::HistoryLost:
         return "history_lost";
+    case StoreFailure::AnswerTooLarge:
+        return "answer_too_large";
     case StoreFailure::Malformed:
         return "malformed";
     case StoreFailure::ListingStalled:
@@ -261,6 +263,13 @@
         startListing();
         return;
     }
+    // Pages of a listing are limited in size, unlike the answer to a watch.
+    if (failure == StoreFailure::AnswerTooLarge && !source.peer && !m_isPageRequested) {
+        if (m_hooks.changesTooLarge)
+            m_hooks.changesTooLarge(m_replica.completeUpTo());
+        startListing();
+        return;
+    }
     recordFailure(source, failure);
 }
 
--- a/Libraries/LibDistribution/StoreFollower.h
+++ b/Libraries/LibDistribution/StoreFollower.h
@@ -62,6 +62,8 @@
     Refused,
     /// The store no longer keeps all changes after the revision.
     HistoryLost,
+    /// The answer is larger than the client accepts. The same request would most likely get it again.
+    AnswerTooLarge,
     /// The answer could not be decoded.
     Malformed,
     /// The page doesn't continue the listing: it has a key that was listed before, or no items although more follow.
@@ -127,6 +129,8 @@
     std::function<void(std::optional<Core::Endpoint> const& peer, Core::Revision)> historyLost;
     /// Called for each page of the store's listing that continues after the key.
     std::function<void(std::string const& afterKey, StoreAnswer const&)> pageRead;
+    /// Called when the store's changes after the revision of the replica are too large to be read.
+    std::function<void(Core::Revision)> changesTooLarge;
     /// Called when a complete listing of so many items was applied.
     std::function<void(std::optional<Core::Endpoint> const& peer, std::size_t items, Core::Revision asOf)> listed;
     /// Called when so many keys were removed because they were not written again after a restore of the store.
--- a/Libraries/LibEventLoop/HttpClient.cpp
+++ b/Libraries/LibEventLoop/HttpClient.cpp
@@ -27,6 +27,8 @@
         return "timed_out";
     case HttpError::ConnectionClosed:
         return "connection_closed";
+    case HttpError::TooLarge:
+        return "too_large";
     case HttpError::Busy:
         return "busy";
     }
@@ -98,8 +100,12 @@
     if (!m_connection)
         connect();
     m_callback = std::move(callback);
+    m_isTooLarge = false;
     m_deadline->arm(timeout);
     auto* request = evhttp_request_new(onResponse, this);
+    // Called before onResponse() gets a null request.
+    evhttp_request_set_error_cb(
+        request, [](evhttp_request_error reason, void* self) { static_cast<HttpClient*>(self)->noteError(reason); });
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", m_server.toString().c_str());
     if (evhttp_make_request(m_connection, request, EVHTTP_REQ_GET, target.c_str()) != 0) {
         disconnect();
@@ -107,6 +113,8 @@
     }
 }
 
+void HttpClient::noteError(int reason) { m_isTooLarge = reason == EVREQ_HTTP_DATA_TOO_LONG; }
+
 void HttpClient::onResponse(evhttp_request* request, void* context)
 {
     auto* self = static_cast<HttpClient*>(context);
@@ -114,7 +122,7 @@
         return;
     auto status = request ? evhttp_request_get_response_code(request) : 0;
     if (status == 0) {
-        self->finish(std::nullopt, HttpError::ConnectionClosed);
+        self->finish(std::nullopt, self->m_isTooLarge ? HttpError::TooLarge : HttpError::ConnectionClosed);
         return;
     }
     auto* buffer = evhttp_request_get_input_buffer(request);
--- a/Libraries/LibEventLoop/HttpClient.h
+++ b/Libraries/LibEventLoop/HttpClient.h
@@ -38,6 +38,8 @@
     None,
     TimedOut,
     ConnectionClosed,
+    /// The response is larger than 4 MiB.
+    TooLarge,
     Busy,
 };
 
@@ -67,12 +69,16 @@
     void disconnect();
     void finish(std::optional<HttpResponse>, HttpError);
     static void onResponse(evhttp_request*, void* self);
+    /// The reason is an evhttp_request_error.
+    void noteError(int reason);
 
     Loop& m_loop;
     Core::Endpoint m_server;
     evhttp_connection* m_connection { nullptr };
     /// Set while a request is in progress.
     Callback m_callback;
+    /// Whether the request in progress failed because of the size of its response.
+    bool m_isTooLarge { false };
     std::unique_ptr<EventRegistration> m_deadline;
 };
 
--- a/Libraries/LibRelay/AnswerHandler.cpp
+++ b/Libraries/LibRelay/AnswerHandler.cpp
@@ -10,7 +10,9 @@
 {
     return [format = std::move(format), callback = std::move(callback)](auto response, EventLoop::HttpError error) {
         if (!response) {
-            callback(std::nullopt, StoreFailure::Unreachable, std::string { toString(error) });
+            bool isTooLarge = error == EventLoop::HttpError::TooLarge;
+            callback(std::nullopt, isTooLarge ? StoreFailure::AnswerTooLarge : StoreFailure::Unreachable,
+                std::string { toString(error) });
             return;
         }
         if (response->status != StatusOk) {
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -75,6 +75,10 @@
                         { "last", page.items.empty() ? "" : page.items.back().key }, { "more", page.hasMore },
                         { "revision", page.asOf.value() } });
             },
+        .changesTooLarge =
+            [](Core::Revision revision) {
+                logEvent(Level::Warn, "changes_too_large", { { "complete_up_to", revision.value() } });
+            },
         .listed =
             [](auto const& peer, std::size_t items, Core::Revision asOf) {
                 logEvent(Level::Info, "listing_applied",
--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -109,6 +109,37 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(WatchWithATooLargeAnswerIsReplacedByAListing)
+{
+    // Guards against asking for the same changes again until the store forgets them, while their answer is too large to
+    // be read.
+    completeListing();
+    follower.nextRequest();
+    follower.handleFailure(StoreFailure::AnswerTooLarge);
+    auto request = nextAfterDelay();
+    BOOST_REQUIRE((request == Distribution::StoreRequest { std::nullopt, ListRequest {} }));
+    follower.handleAnswer({ .items = { item("a", 1), item("b", 20) }, .asOf = Core::Revision { 20 } });
+    BOOST_TEST(changes == 2U);
+    auto watch = nextAfterDelay();
+    BOOST_TEST(std::get<WatchRequest>(watch->call).after.value() == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(TooLargeAnswersBackOff)
+{
+    // Guards against calling the store without a pause while neither its changes nor its pages can be read.
+    std::size_t requests = 0;
+    completeListing();
+    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
+        if (!follower.nextRequest())
+            continue;
+        ++requests;
+        follower.handleFailure(StoreFailure::AnswerTooLarge);
+    }
+    BOOST_TEST(requests >= 10U);
+    BOOST_TEST(requests <= 25U);
+    BOOST_TEST(lost == 1U);
+}
+
 BOOST_DATA_TEST_CASE(ListingThatDoesNotAdvanceIsAFailure, boost::unit_test::data::make(StalledPages), testCase)
 {
     // Guards against a listing that collects the same page for ever, until the process is over its memory limit.
--- a/Tests/LibEventLoop/TestHttp.cpp
+++ b/Tests/LibEventLoop/TestHttp.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
+#include <csignal>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -115,6 +116,26 @@
     BOOST_CHECK(httpError == EventLoop::HttpError::ConnectionClosed);
 }
 
+BOOST_AUTO_TEST_CASE(ResponseThatIsTooLargeIsToldApart)
+{
+    // Guards against taking a server whose response is too large for one that can't be reached.
+    // The server writes on after the client has closed the connection. The programs ignore the signal, too.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto endpoint = unusedEndpoint();
+    auto server = EventLoop::HttpServer::create(*loop, endpoint, error);
+    BOOST_REQUIRE_MESSAGE(server, error);
+    static constexpr std::size_t LargestBody = std::size_t { 4 } * 1024 * 1024;
+    server->addRoute("/largest", [] { return EventLoop::HttpResponse { 200, std::string(LargestBody, 'x') }; });
+    server->addRoute("/larger", [] { return EventLoop::HttpResponse { 200, std::string(LargestBody + 1, 'x') }; });
+    EventLoop::HttpClient client { *loop, endpoint };
+    get(client, "/larger");
+    BOOST_TEST(!response.has_value());
+    BOOST_CHECK(httpError == EventLoop::HttpError::TooLarge);
+    get(client, "/largest");
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->body.size() == LargestBody);
+}
+
 BOOST_AUTO_TEST_CASE(ProbeDistinguishesAListenerFromAClosedPort)
 {
     // Guards against an upstream that is considered failed although a process listens on its port.
