--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -104,12 +104,12 @@
     bool isZoneOutOfService(Core::ZoneId) const;
 
 private:
+    using RecordList = absl::InlinedVector<UpstreamRecord*, 1>;
+
     /// Whether the current routes declare the service. True before the first routes are received.
     bool isDeclared(Core::ServiceId) const;
     void addRecord(UpstreamEntry);
     void updateRecord(UpstreamRecord&, UpstreamEntry);
-    using RecordList = absl::InlinedVector<UpstreamRecord*, 1>;
-
     /// Gives the token to the process that started first, as it may have flows.
     void resolveToken(RoutingToken);
     void removeFromToken(UpstreamRecord&);
