Tests: Share the steps that the new tests repeat

They are Fixture::countRequests() and LargeEntry::text() now. Older tests of the file keep their own loops.

--- a/Tests/LibDistribution/TestStoreFollower.cpp
+++ b/Tests/LibDistribution/TestStoreFollower.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+
 using namespace Chicorytally;
 using namespace std::chrono_literals;
 using Distribution::Item;
@@ -58,6 +60,20 @@
         return requestingFollower.nextRequest();
     }
 
+    /// Answers the requests of 10 s and returns their number.
+    std::size_t countRequests(std::function<void(Distribution::StoreRequest const&)> const& answer)
+    {
+        std::size_t requests = 0;
+        for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
+            auto request = follower.nextRequest();
+            if (!request)
+                continue;
+            ++requests;
+            answer(*request);
+        }
+        return requests;
+    }
+
     void completeListing()
     {
         follower.nextRequest();
@@ -127,14 +143,8 @@
 BOOST_AUTO_TEST_CASE(TooLargeAnswersBackOff)
 {
     // Guards against calling the store without a pause while neither its changes nor its pages can be read.
-    std::size_t requests = 0;
     completeListing();
-    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
-        if (!follower.nextRequest())
-            continue;
-        ++requests;
-        follower.handleFailure(StoreFailure::AnswerTooLarge);
-    }
+    auto requests = countRequests([this](auto const&) { follower.handleFailure(StoreFailure::AnswerTooLarge); });
     BOOST_TEST(requests >= 10U);
     BOOST_TEST(requests <= 25U);
     BOOST_TEST(lost == 1U);
@@ -143,17 +153,12 @@
 BOOST_DATA_TEST_CASE(ListingThatDoesNotAdvanceIsAFailure, boost::unit_test::data::make(StalledPages), testCase)
 {
     // Guards against a listing that collects the same page for ever, until the process is over its memory limit.
-    std::size_t requests = 0;
-    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
-        auto request = follower.nextRequest();
-        if (!request)
-            continue;
-        ++requests;
-        bool isFirstPage = std::get<ListRequest>(request->call).afterKey.empty();
+    auto requests = countRequests([&](auto const& request) {
+        bool isFirstPage = std::get<ListRequest>(request.call).afterKey.empty();
         follower.handleAnswer({ .items = isFirstPage ? std::vector { item("a", 1), item("b", 2) } : testCase.items,
             .hasMore = true,
             .asOf = Core::Revision { 10 } });
-    }
+    });
     // Two pages for each of the attempts that a store may get which refuses everything.
     BOOST_TEST(requests >= 20U);
     BOOST_TEST(requests <= 50U);
@@ -170,17 +175,12 @@
 BOOST_AUTO_TEST_CASE(ListingThatFailsAtTheSamePageBacksOff)
 {
     // Guards against listing the store without a growing delay, because its first page is answered each time.
-    std::size_t requests = 0;
-    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(10ms)) {
-        auto request = follower.nextRequest();
-        if (!request)
-            continue;
-        ++requests;
-        if (std::get<ListRequest>(request->call).afterKey.empty())
+    auto requests = countRequests([&](auto const& request) {
+        if (std::get<ListRequest>(request.call).afterKey.empty())
             follower.handleAnswer({ .items = { item("a", 1) }, .hasMore = true, .asOf = Core::Revision { 10 } });
         else
             follower.handleFailure(StoreFailure::Unreachable);
-    }
+    });
     BOOST_TEST(requests >= 20U);
     BOOST_TEST(requests <= 50U);
     BOOST_TEST(lost == 1U);
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -161,6 +161,14 @@
     std::string head;
     std::string unit;
     std::string tail;
+
+    std::string text(std::size_t size) const
+    {
+        auto text = head;
+        while (text.size() < size)
+            text += unit;
+        return text + tail;
+    }
 };
 
 std::ostream& operator<<(std::ostream& stream, LargeEntry const& entry) { return stream << entry.head << entry.unit; }
@@ -227,11 +235,8 @@
 {
     // Guards against an entry of another writer that exhausts the memory of each process that reads it, or stops its
     // packet path.
-    auto value = large.head;
-    while (value.size() < LargestValueBytes)
-        value += large.unit;
     std::string error;
-    auto change = decode("servers/i-7f3a", value + large.tail, error);
+    auto change = decode("servers/i-7f3a", large.text(LargestValueBytes), error);
     BOOST_REQUIRE(change.has_value());
     BOOST_TEST(!std::get<Platform::UpstreamChange>(*change).entry.has_value());
     BOOST_TEST(error.find("bytes, at most") != std::string::npos, error.substr(0, 200));
@@ -241,11 +246,8 @@
 {
     // Guards against an entry below the limit of size that is parsed recursively and overflows the stack.
     static constexpr std::size_t Bytes = 60'000;
-    auto value = nested.head;
-    while (value.size() < Bytes)
-        value += nested.unit;
     std::string error;
-    auto change = decode("servers/i-7f3a", value + nested.tail, error);
+    auto change = decode("servers/i-7f3a", nested.text(Bytes), error);
     BOOST_REQUIRE(change.has_value());
     BOOST_TEST(!std::get<Platform::UpstreamChange>(*change).entry.has_value());
     BOOST_TEST(!error.empty());
