--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -130,6 +130,8 @@
     return {
         .choose
         = [this](Core::ServiceId service, Core::UpstreamId excluded) { return m_choice.choose(service, excluded); },
+        .acceptsSoon
+        = [this](Core::ServiceId service, std::chrono::milliseconds limit) { return acceptsSoon(service, limit); },
         .isLost = [this](Core::UpstreamId id) { return m_liveness.livenessOf(id) == Liveness::Unreachable; },
         .progressed =
             [this](Core::UpstreamId id) {
@@ -142,6 +144,13 @@
     };
 }
 
+bool TokenBalancer::acceptsSoon(Core::ServiceId service, std::chrono::milliseconds limit) const
+{
+    return std::ranges::any_of(m_directory.upstreamsOf(service), [&](auto const* record) {
+        return m_directory.acceptsNewFlows(*record) && m_directory.slowStartRemaining(*record) <= limit;
+    });
+}
+
 void TokenBalancer::handleAnswer(
     Core::FlowKey const& key, Placement::TokenFlow const& flow, Placement::TokenResponse const& answer)
 {
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -111,6 +111,7 @@
     Load::ZoneReachabilityHooks zoneHooks();
     Placement::TokenFlowHooks flowHooks();
     Placement::TokenPlacerHooks placerHooks();
+    bool acceptsSoon(Core::ServiceId, std::chrono::milliseconds) const;
     void handleAnswer(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenResponse const&);
     void recordFailure(Core::UpstreamId, std::string_view symptom);
     std::string nameOf(Core::UpstreamId) const;
--- a/Libraries/LibDirectory/Route.cpp
+++ b/Libraries/LibDirectory/Route.cpp
@@ -6,6 +6,19 @@
 
 Core::ServiceId serviceId(std::string_view name) { return Core::ServiceId { Core::hash64(name) }; }
 
+std::string_view toString(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Safe:
+        return "safe";
+    case RequestKind::Unsafe:
+        return "unsafe";
+    case RequestKind::Download:
+        return "download";
+    }
+    return "unknown";
+}
+
 Core::ServiceId Route::serviceFor(std::uint64_t flowHash) const
 {
     if (services.size() == 1)
--- a/Libraries/LibDirectory/Route.h
+++ b/Libraries/LibDirectory/Route.h
@@ -6,7 +6,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Chicorytally::Directory {
@@ -19,12 +21,33 @@
     friend bool operator==(WeightedService const&, WeightedService const&) = default;
 };
 
+/// What may be done with the requests of a route.
+enum class RequestKind : std::uint8_t {
+    /// May be repeated.
+    Safe,
+    /// Must run at most once.
+    Unsafe,
+    /// May be repeated; its response is large.
+    Download,
+};
+
+std::string_view toString(RequestKind);
+
+/// Urgency of a route's requests. 0 is the most urgent.
+using Priority = std::uint32_t;
+
 /// Maps an address to the services that get its new flows.
 struct Route {
     std::string name;
     Core::Endpoint address;
     /// Never empty; the sum of the weights is greater than 0.
     std::vector<WeightedService> services;
+    Priority priority { 0 };
+    RequestKind requestKind { RequestKind::Safe };
+    /// Time to the answer that callers expect; unset if the operators state none.
+    std::optional<std::chrono::milliseconds> goal;
+    /// Time after which callers give up; unset if the operators state none.
+    std::optional<std::chrono::milliseconds> timeout;
 
     /// Selects the service of a new flow. Retransmissions of the opening packet select the same one.
     Core::ServiceId serviceFor(std::uint64_t flowHash) const;
--- a/Libraries/LibDirectory/UpstreamDirectory.cpp
+++ b/Libraries/LibDirectory/UpstreamDirectory.cpp
@@ -261,13 +261,17 @@
 
 bool UpstreamDirectory::isInSlowStart(UpstreamRecord const& record) const
 {
-    return m_clock.now() < record.slowStartEnd || hasRecentlyReturned(record.entry.upstream.zone);
+    return slowStartRemaining(record) > std::chrono::milliseconds { 0 };
 }
 
-bool UpstreamDirectory::hasRecentlyReturned(Core::ZoneId zone) const
+std::chrono::milliseconds UpstreamDirectory::slowStartRemaining(UpstreamRecord const& record) const
 {
-    auto returned = m_zoneReturnTimes.find(zone);
-    return returned != m_zoneReturnTimes.end() && m_clock.now() - returned->second < m_options.zoneReturnSlowStart;
+    auto end = record.slowStartEnd;
+    auto returned = m_zoneReturnTimes.find(record.entry.upstream.zone);
+    if (returned != m_zoneReturnTimes.end())
+        end = std::max(end, returned->second + m_options.zoneReturnSlowStart);
+    auto remaining = std::max(end - m_clock.now(), Core::TimePoint::duration { 0 });
+    return std::chrono::ceil<std::chrono::milliseconds>(remaining);
 }
 
 bool UpstreamDirectory::isDeclared(Core::ServiceId service) const
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -99,6 +99,8 @@
 
     /// True while the upstream itself is in slow start or its zone has just returned to service.
     bool isInSlowStart(UpstreamRecord const&) const;
+    /// Time until the upstream is no longer in slow start; zero if it isn't.
+    std::chrono::milliseconds slowStartRemaining(UpstreamRecord const&) const;
     /// Whether the discovery service and the operators' configuration allow new flows to this upstream.
     bool acceptsNewFlows(UpstreamRecord const&) const;
     bool isZoneOutOfService(Core::ZoneId) const;
@@ -122,7 +124,6 @@
     void listIfRegistered(UpstreamRecord&);
     void unlist(UpstreamRecord&);
     void removeRecord(Core::UpstreamId);
-    bool hasRecentlyReturned(Core::ZoneId) const;
 
     Core::Clock const& m_clock;
     DirectoryOptions m_options;
--- a/Libraries/LibPlacement/TokenPlacer.cpp
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -17,6 +17,7 @@
 
 void TokenPlacer::setDirectoryComplete(bool isComplete)
 {
+    m_wasDirectoryComplete |= isComplete;
     if (!isComplete)
         m_directoryCompleteSince.reset();
     else if (!m_directoryCompleteSince)
@@ -48,13 +49,24 @@
         m_hooks.openUnanswered(flow->upstream, flow->openedAt);
         excluded = flow->upstream;
     }
-    auto const* chosen = m_hooks.choose(route.serviceFor(packet.flow.hash(0).low), excluded);
+    auto service = route.serviceFor(packet.flow.hash(0).low);
+    auto const* chosen = m_hooks.choose(service, excluded);
     if (!chosen)
-        return { Verdict::Drop, Reason::NoUpstream };
+        return decideWithoutUpstream(service);
     m_flows.recordOpen(packet.flow, chosen->entry.upstream.id);
     return { Verdict::Forward, previous ? Reason::RepeatedOpen : Reason::NewFlow, chosen, chosen->token };
 }
 
+TokenDecision TokenPlacer::decideWithoutUpstream(Core::ServiceId service) const
+{
+    // After a start, the upstreams may arrive later than the routes. A refusal would use up one of the few attempts of
+    // a caller whose copy 200 ms later can be forwarded.
+    if (!m_wasDirectoryComplete)
+        return { Verdict::Drop, Reason::NotSynchronised };
+    bool isCopyUseful = m_hooks.acceptsSoon(service, m_options.lastRetransmission);
+    return { isCopyUseful ? Verdict::Drop : Verdict::Refuse, Reason::NoUpstream };
+}
+
 TokenDecision TokenPlacer::decideByToken(TokenPacket const& packet)
 {
     auto const* record = m_directory.findByToken(packet.token);
--- a/Libraries/LibPlacement/TokenPlacer.h
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -30,6 +30,9 @@
     /// A copy of an opening packet that arrives sooner goes to the same upstream, whose response may be in flight.
     /// Callers retransmit after 200 ms at the earliest.
     std::chrono::milliseconds minimumRetransmissionInterval { 150 };
+    /// Time from an opening packet to its last copy. If an upstream is expected within it, an opening packet that has
+    /// none is dropped, so that a copy can be forwarded; otherwise it is refused.
+    std::chrono::milliseconds lastRetransmission { 600 };
     /// How long the directory must have been complete before flows with an unknown token are reset: entries that
     /// expired while the store was unavailable return within 2 s. The token must also have been unknown for
     /// minimumRetransmissionInterval.
@@ -39,6 +42,8 @@
 struct TokenPlacerHooks {
     /// Chooses the upstream of a new flow. The excluded one has not responded to an earlier open of the caller.
     std::function<Directory::UpstreamRecord const*(Core::ServiceId, Core::UpstreamId excluded)> choose;
+    /// Whether an upstream of the service is expected to accept new flows within the time.
+    std::function<bool(Core::ServiceId, std::chrono::milliseconds)> acceptsSoon;
     /// The flows of the upstream are lost: neither traffic nor probes get a response.
     std::function<bool(Core::UpstreamId)> isLost;
     /// The caller acknowledged new data of the upstream.
@@ -62,6 +67,7 @@
 
 private:
     TokenDecision decideOpen(TokenPacket const&, Directory::Route const&);
+    TokenDecision decideWithoutUpstream(Core::ServiceId) const;
     TokenDecision decideByToken(TokenPacket const&);
     TokenDecision decideUnknownToken(TokenPacket const&);
 
@@ -72,6 +78,7 @@
     TokenPlacerHooks m_hooks;
     /// Unset while the directory may lack upstreams.
     std::optional<Core::TimePoint> m_directoryCompleteSince;
+    bool m_wasDirectoryComplete { false };
     absl::flat_hash_map<Directory::RoutingToken, Core::TimePoint> m_unknownSince;
 };
 
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -122,6 +122,22 @@
 
 BOOST_FIXTURE_TEST_SUITE(TokenBalancer, Fixture)
 
+BOOST_AUTO_TEST_CASE(OpenIsRefusedIfNoUpstreamIsWarmSoon)
+{
+    // Guards against callers that wait for upstreams in a long slow start, and against refusals when a copy of the
+    // opening packet comes late enough.
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        auto entry = makeEntry(id, LocalZone, 2);
+        entry.slowStartRemaining = 2s;
+        balancer.applyUpstream(entry);
+    }
+    BOOST_CHECK(balancer.decide(packet(PacketKind::Open, 1)).verdict == Verdict::Refuse);
+    clock.advance(1400ms);
+    BOOST_CHECK(balancer.decide(packet(PacketKind::Open, 2)).verdict == Verdict::Drop);
+    clock.advance(600ms);
+    BOOST_CHECK(balancer.decide(packet(PacketKind::Open, 2)).verdict == Verdict::Forward);
+}
+
 BOOST_AUTO_TEST_CASE(IdleFlowsOfAReportedUnresponsiveUpstreamAreReset)
 {
     // Guards against each balancer losing a request before it detects an unresponsive upstream that another one has
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -43,6 +43,7 @@
     std::set<std::uint64_t> lost;
     unsigned progress { 0 };
     unsigned unanswered { 0 };
+    std::chrono::milliseconds upstreamExpectedIn { std::chrono::hours { 1 } };
     Directory::UpstreamDirectory directory { clock, {}, {} };
     Placement::TokenFlowTable flows { clock, 1000,
         { .opened = [this](auto id) { ++openFlows[id.value()]; },
@@ -59,6 +60,7 @@
                     }
                     return static_cast<Directory::UpstreamRecord const*>(nullptr);
                 },
+            .acceptsSoon = [this](auto, auto limit) { return upstreamExpectedIn <= limit; },
             .isLost = [this](auto id) { return lost.contains(id.value()); },
             .progressed = [this](auto) { ++progress; },
             .openUnanswered = [this](auto, auto) { ++unanswered; } } };
@@ -122,6 +124,42 @@
     BOOST_TEST(upstreamOf(placer.decide(packet(PacketKind::Open, 4001))) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(OpenWithoutUpstreamIsRefused)
+{
+    // Guards against callers that wait 1.4 s for an answer that can't come.
+    for (std::uint64_t id : { 1, 2 })
+        directory.removeUpstream(Core::UpstreamId { id }, Core::Revision { 2 });
+    auto decision = placer.decide(packet(PacketKind::Open));
+    BOOST_CHECK(decision.verdict == Verdict::Refuse);
+    BOOST_CHECK(decision.reason == Reason::NoUpstream);
+    placer.setDirectoryComplete(false);
+    BOOST_CHECK(placer.decide(packet(PacketKind::Open)).verdict == Verdict::Refuse);
+}
+
+BOOST_AUTO_TEST_CASE(OpenIsNotRefusedIfACopyCanBeServed)
+{
+    // Guards against using up a caller's attempts while its upstreams are about to end their slow start.
+    for (std::uint64_t id : { 1, 2 })
+        directory.removeUpstream(Core::UpstreamId { id }, Core::Revision { 2 });
+    upstreamExpectedIn = 600ms;
+    BOOST_CHECK(placer.decide(packet(PacketKind::Open)).verdict == Verdict::Drop);
+    upstreamExpectedIn = 601ms;
+    BOOST_CHECK(placer.decide(packet(PacketKind::Open)).verdict == Verdict::Refuse);
+}
+
+BOOST_AUTO_TEST_CASE(OpenIsNotRefusedBeforeTheUpstreamsAreKnown)
+{
+    // Guards against refusals by a balancer that has started and received the routes before the upstreams.
+    Placement::TokenPlacer started { clock, {}, directory, flows,
+        { .choose = [](auto, auto) { return static_cast<Directory::UpstreamRecord const*>(nullptr); },
+            .acceptsSoon = [](auto, auto) { return false; } } };
+    auto decision = started.decide(packet(PacketKind::Open));
+    BOOST_CHECK(decision.verdict == Verdict::Drop);
+    BOOST_CHECK(decision.reason == Reason::NotSynchronised);
+    started.setDirectoryComplete(true);
+    BOOST_CHECK(started.decide(packet(PacketKind::Open)).verdict == Verdict::Refuse);
+}
+
 BOOST_AUTO_TEST_CASE(PromptCopyOfAnOpenGoesToTheSameUpstream)
 {
     // Guards against two upstreams that respond to one open after a balancer was paused.
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -81,6 +81,28 @@
     BOOST_TEST(routes.services.at(Directory::serviceId("register")).slowStartOpensPerSecond == 3.5);
 }
 
+BOOST_AUTO_TEST_CASE(RequestPropertiesAreDecoded)
+{
+    // Guards against admitting requests in the wrong order, and against a configuration without these fields that is
+    // rejected.
+    std::string error;
+    auto value = nlohmann::json::parse(ConfigurationValue);
+    value["routes"][0].update({ { "priority", 1 }, { "kind", "unsafe" }, { "slo_ms", 300 }, { "timeout_ms", 3000.5 } });
+    auto change = decode("op/config", value.dump(), error);
+    BOOST_REQUIRE_MESSAGE(change.has_value(), error);
+    auto const& routes = std::get<Platform::RoutesChange>(*change).routes.routes;
+    auto const& full = routes.at(*Core::Endpoint::parse("198.18.0.1:8080"));
+    BOOST_TEST(full.priority == 1U);
+    BOOST_CHECK(full.requestKind == Directory::RequestKind::Unsafe);
+    BOOST_CHECK(full.goal == 300ms);
+    BOOST_CHECK(full.timeout == 3001ms);
+    auto const& bare = routes.at(*Core::Endpoint::parse("198.18.0.1:8443"));
+    BOOST_TEST(bare.priority == 0U);
+    BOOST_CHECK(bare.requestKind == Directory::RequestKind::Safe);
+    BOOST_CHECK(!bare.goal);
+    BOOST_CHECK(!bare.timeout);
+}
+
 struct MalformedItem {
     char const* key;
     char const* value;
@@ -153,6 +175,21 @@
     { "born", "1e300" },
 };
 
+FieldCase const OddRouteFields[] {
+    { "priority", "-1" },
+    { "priority", "1.5" },
+    { "priority", "4294967296" },
+    { "priority", R"("1")" },
+    { "kind", R"("urgent")" },
+    { "kind", "1" },
+    { "slo_ms", "0" },
+    { "slo_ms", "true" },
+    { "slo_ms", "1e300" },
+    { "timeout_ms", "-5" },
+    { "timeout_ms", R"("3000")" },
+    { "timeout_ms", "null" },
+};
+
 /// The store's limit for a value.
 constexpr std::size_t LargestValueBytes = 1'048'576;
 
@@ -220,6 +257,16 @@
     BOOST_TEST(!error.empty());
 }
 
+BOOST_DATA_TEST_CASE(OddRouteFieldRejectsTheConfiguration, boost::unit_test::data::make(OddRouteFields), odd)
+{
+    // Guards against a route that is served with a priority or time that its operators didn't mean.
+    auto value = nlohmann::json::parse(ConfigurationValue);
+    value["routes"][0][odd.field] = nlohmann::json::parse(odd.value);
+    std::string error;
+    BOOST_TEST(!decode("op/config", value.dump(), error).has_value());
+    BOOST_TEST(!error.empty());
+}
+
 BOOST_DATA_TEST_CASE(UnusualFieldIsAccepted, boost::unit_test::data::make(UnusualFields), unusual)
 {
     // Guards against dropping an upstream for a value that the platform permits.
