LibLoad, LibBalancer: Treat upstreams that return after a loss as possibly cold

Cause: slow start followed only from an upstream's entry and from the return of a zone.

Ruled out: waiting for the upstream's entry alone, since it can't arrive while the store is away; the freshness flag of the view, which holds for 2.5 s after the store fell silent; counting each refused probe, since an upstream at its connection limit refuses as well.

Change: ReturningUpstreams holds what is known of an upstream's return. It counts as possibly cold for its service's slow start time (`warmup_s`, now decoded; two heartbeats if unknown), until the directory was complete for two heartbeats without a new entry, or until a flow from before the loss makes progress. LeastLoadedSelector takes such upstreams after warm ones of all zones and before suspects. Silent upstreams of a zone that was cut off are used at once. A report of a new kind tells other balancers after three refusals; its influence is limited to a quarter of a service's upstreams and to one slow start in 10 s each, and a process known to be warm isn't affected. Older versions ignore it.

Tests: TokenPlacerHooks::progressed and LeastLoadedSelector have a further parameter, which the fixtures follow; ReportReachesTheFollowersOfTheSeed now runs for each kind of report.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -32,8 +32,9 @@
           [this](Core::UpstreamId id) {
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
           })
+    , m_returning(clock, m_options.returning, returningHooks())
     , m_choice({ .zone = m_options.zone, .randomSeed = m_options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
-          m_failures)
+          m_failures, m_returning)
     , m_flows(clock, m_options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_random(m_options.randomSeed)
@@ -53,12 +54,14 @@
                         { "incarnation", record.entry.incarnation.value() } });
                 abortFlows(id, "restarted");
                 m_liveness.reset(id);
+                m_returning.forget(id);
             },
         .unlisted = [this](auto const& record) { handleUnlisted(record); },
         .listedAgain =
             [this](auto const& record) {
                 logEvent(Level::Info, "upstream_listed_again", { { "upstream", record.entry.upstream.name } });
                 m_liveness.reset(record.entry.upstream.id);
+                m_returning.forget(record.entry.upstream.id);
             },
     };
 }
@@ -89,9 +92,32 @@
                     { { "upstream", nameOf(id) }, { "suspicion", toString(suspicion) }, { "probe", toString(probe) } });
                 abortFlows(id, toString(suspicion));
             },
-        .regained =
+        .regained = [this](Core::UpstreamId id) { recordReturn(id); },
+    };
+}
+
+Load::ReturningUpstreamsHooks TokenBalancer::returningHooks()
+{
+    return {
+        .slowStartOf = [this](Core::UpstreamId id) -> std::optional<std::chrono::milliseconds> {
+            auto const* record = m_directory.find(id);
+            return record ? m_directory.limitsOf(record->entry.service).slowStart : std::nullopt;
+        },
+        .wasCutOff =
+            [this](Core::UpstreamId id, Core::TimePoint since) {
+                auto const* record = m_directory.find(id);
+                return record && m_zones.wasLostSince(record->entry.upstream.zone, since);
+            },
+        .upstreamsOfSameService =
             [this](Core::UpstreamId id) {
-                logEvent(Level::Info, "upstream_regained", { { "upstream", nameOf(id) } });
+                std::vector<Core::UpstreamId> upstreams;
+                if (auto const* record = m_directory.find(id)) {
+                    for (auto const* other : m_directory.upstreamsOf(record->entry.service)) {
+                        if (m_directory.acceptsNewFlows(*other))
+                            upstreams.push_back(other->entry.upstream.id);
+                    }
+                }
+                return upstreams;
             },
     };
 }
@@ -134,7 +160,9 @@
         = [this](Core::ServiceId service, std::chrono::milliseconds limit) { return acceptsSoon(service, limit); },
         .isLost = [this](Core::UpstreamId id) { return m_liveness.livenessOf(id) == Liveness::Unreachable; },
         .progressed =
-            [this](Core::UpstreamId id) {
+            [this](Core::UpstreamId id, Core::TimePoint flowOpenedAt) {
+                // Before the liveness, which asks whether the process that answers again is the one that was lost.
+                m_returning.noteProgress(id, flowOpenedAt);
                 m_liveness.noteProgress(id);
                 recordZoneAnswer(id);
             },
@@ -165,6 +193,15 @@
     recordFailure(flow.upstream, "short_answer");
 }
 
+void TokenBalancer::recordReturn(Core::UpstreamId id)
+{
+    bool isReportDue = m_returning.noteReturned(id, m_liveness.lossOf(id));
+    logEvent(Level::Info, "upstream_regained",
+        { { "upstream", nameOf(id) }, { "possibly_cold", m_returning.isPossiblyCold(id) } });
+    if (isReportDue && m_hooks.report)
+        m_hooks.report(id, Load::ReportKind::Returned);
+}
+
 void TokenBalancer::recordFailure(Core::UpstreamId id, std::string_view symptom)
 {
     ++m_counters.failures;
@@ -323,6 +360,11 @@
     case Load::ReportKind::Failing:
         m_failures.notePeerReport(id, report.reporter);
         return;
+    case Load::ReportKind::Returned:
+        if (m_returning.noteReported(id))
+            logEvent(Level::Info, "upstream_return_reported",
+                { { "upstream", nameOf(id) }, { "reporter", report.reporter.value() } });
+        return;
     }
 }
 
@@ -364,6 +406,8 @@
         m_flows.restartRequestTimers();
     suspectSilentUpstreams();
     m_liveness.tick();
+    if (auto age = m_hooks.viewAge())
+        m_returning.noteSynchronised(m_clock.now() - *age);
     m_log.logSuppressedLines();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
@@ -372,6 +416,7 @@
     m_directory.sweep();
     m_placer.sweep();
     m_failures.removeExpired();
+    m_returning.removeExpired();
 }
 
 bool TokenBalancer::canServe() const
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -31,6 +31,7 @@
     std::size_t maximumFlows { 100'000 };
     Directory::DirectoryOptions directory;
     Load::LivenessOptions liveness;
+    Load::ReturningUpstreamsOptions returning;
     /// An open that the caller hasn't confirmed within this time makes its upstream suspect. Callers acknowledge the
     /// answer of a responsive upstream after one round trip.
     std::chrono::milliseconds openConfirmationTimeout { 40 };
@@ -108,11 +109,13 @@
 private:
     Directory::DirectoryHooks directoryHooks();
     Load::LivenessHooks livenessHooks();
+    Load::ReturningUpstreamsHooks returningHooks();
     Load::ZoneReachabilityHooks zoneHooks();
     Placement::TokenFlowHooks flowHooks();
     Placement::TokenPlacerHooks placerHooks();
     bool acceptsSoon(Core::ServiceId, std::chrono::milliseconds) const;
     void handleAnswer(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenResponse const&);
+    void recordReturn(Core::UpstreamId);
     void recordFailure(Core::UpstreamId, std::string_view symptom);
     std::string nameOf(Core::UpstreamId) const;
     std::string nameOf(Core::ZoneId) const;
@@ -137,6 +140,7 @@
     Load::ZoneReachability m_zones;
     Load::ShortResponseDetector m_answerSizes { {} };
     Load::RequestFailureDetector m_failures;
+    Load::ReturningUpstreams m_returning;
     Load::LeastLoadedSelector m_choice;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
--- a/Libraries/LibDirectory/Route.h
+++ b/Libraries/LibDirectory/Route.h
@@ -59,6 +59,8 @@
 struct ServiceLimits {
     /// Maximum rate of new flows per second to an upstream in slow start, over all balancers.
     double slowStartOpensPerSecond { 0 };
+    /// How long an upstream is in slow start after its process started; unset if the operators state nothing.
+    std::optional<std::chrono::milliseconds> slowStart {};
 
     friend bool operator==(ServiceLimits const&, ServiceLimits const&) = default;
 };
--- a/Libraries/LibLoad/LeastLoadedSelector.cpp
+++ b/Libraries/LibLoad/LeastLoadedSelector.cpp
@@ -1,39 +1,49 @@
 #include <LibLoad/LeastLoadedSelector.h>
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace Chicorytally::Load {
 
 LeastLoadedSelector::LeastLoadedSelector(LeastLoadedSelectorOptions options,
     Directory::UpstreamDirectory const& directory, UpstreamLoadCounter const& load, UpstreamLiveness const& liveness,
-    ZoneReachability const& zones, RequestFailureDetector const& failures)
+    ZoneReachability const& zones, RequestFailureDetector const& failures, ReturningUpstreams const& returning)
     : m_options(options)
     , m_directory(directory)
     , m_load(load)
     , m_liveness(liveness)
     , m_zones(zones)
     , m_failureDetector(failures)
+    , m_returning(returning)
     , m_random(options.randomSeed)
 {
 }
 
 Directory::UpstreamRecord const* LeastLoadedSelector::choose(Core::ServiceId service, Core::UpstreamId excluded)
 {
+    static constexpr Tier Preferred { .worstLiveness = Liveness::Alive };
+    // Requests to an upstream that may be cold are slow but get answers. One that this balancer can't reach may still
+    // be better than none.
+    static constexpr std::array Tiers {
+        Tier { Liveness::Alive, true, false },
+        Tier { Liveness::Alive, true, true },
+        Tier { Liveness::Suspect, true, true },
+        Tier { Liveness::Unreachable, true, true },
+    };
     if (isFailingMinority(service)) {
-        if (auto const* record = selectAmong(service, excluded, Liveness::Alive, false))
+        if (auto const* record = selectAmong(service, excluded, Preferred))
             return record;
     }
-    // An upstream that this balancer can't reach may still be better than none.
-    for (auto worstLiveness : { Liveness::Alive, Liveness::Suspect, Liveness::Unreachable }) {
-        if (auto const* record = selectAmong(service, excluded, worstLiveness, true))
+    for (auto const& tier : Tiers) {
+        if (auto const* record = selectAmong(service, excluded, tier))
             return record;
     }
     return excluded.isValid() ? choose(service, {}) : nullptr;
 }
 
 Directory::UpstreamRecord const* LeastLoadedSelector::selectAmong(
-    Core::ServiceId service, Core::UpstreamId excluded, Liveness worstLiveness, bool isFailingAllowed)
+    Core::ServiceId service, Core::UpstreamId excluded, Tier const& tier)
 {
     auto byFlows = [](Candidate const& left, Candidate const& right) {
         return std::tie(left.flowsPerSlot, left.requestsPerSlot, left.tieBreak)
@@ -48,8 +58,7 @@
     for (auto const* record : m_directory.upstreamsOf(service)) {
         auto const& upstream = record->entry.upstream;
         if (upstream.id == excluded || !m_directory.acceptsNewFlows(*record) || m_directory.isInSlowStart(*record)
-            || effectiveLiveness(upstream) > worstLiveness
-            || (!isFailingAllowed && m_failureDetector.isFailing(upstream.id)))
+            || !isInTier(*record, tier))
             continue;
         auto next = candidate(*record);
         bool isLocal = upstream.zone == m_options.zone;
@@ -63,6 +72,14 @@
     return local.record && byRequests(local, remote) ? local.record : remote.record;
 }
 
+bool LeastLoadedSelector::isInTier(Directory::UpstreamRecord const& record, Tier const& tier) const
+{
+    auto const& upstream = record.entry.upstream;
+    return effectiveLiveness(upstream) <= tier.worstLiveness
+        && (tier.includesFailing || !m_failureDetector.isFailing(upstream.id))
+        && (tier.includesPossiblyCold || !m_returning.isPossiblyCold(upstream.id));
+}
+
 // Under overload most upstreams fail requests. Avoiding more than half of them would overload the others further.
 bool LeastLoadedSelector::isFailingMinority(Core::ServiceId service) const
 {
--- a/Libraries/LibLoad/LeastLoadedSelector.h
+++ b/Libraries/LibLoad/LeastLoadedSelector.h
@@ -3,6 +3,7 @@
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
 #include <LibLoad/RequestFailureDetector.h>
+#include <LibLoad/ReturningUpstreams.h>
 #include <LibLoad/UpstreamLiveness.h>
 #include <LibLoad/UpstreamLoadCounter.h>
 #include <LibLoad/ZoneReachability.h>
@@ -22,17 +23,24 @@
 };
 
 /// Selects the upstream with the fewest flows per slot for a new flow, in the local zone while that has capacity.
-/// Upstreams that fail requests, are suspect or are unreachable come last, in this order. Not thread-safe.
+/// Upstreams that fail requests, may be cold, are suspect or are unreachable come last, in this order. Not thread-safe.
 class LeastLoadedSelector {
 public:
     LeastLoadedSelector(LeastLoadedSelectorOptions, Directory::UpstreamDirectory const&, UpstreamLoadCounter const&,
-        UpstreamLiveness const&, ZoneReachability const&, RequestFailureDetector const&);
+        UpstreamLiveness const&, ZoneReachability const&, RequestFailureDetector const&, ReturningUpstreams const&);
 
     /// Returns null if no upstream of the service may get a new flow. The excluded upstream is only chosen if there is
     /// no other.
     Directory::UpstreamRecord const* choose(Core::ServiceId, Core::UpstreamId excluded);
 
 private:
+    /// Which upstreams are candidates.
+    struct Tier {
+        Liveness worstLiveness { Liveness::Alive };
+        bool includesFailing { false };
+        bool includesPossiblyCold { false };
+    };
+
     struct Candidate {
         Directory::UpstreamRecord const* record { nullptr };
         double flowsPerSlot { 0 };
@@ -42,8 +50,8 @@
 
     Candidate candidate(Directory::UpstreamRecord const&);
     Liveness effectiveLiveness(Model::Upstream const&) const;
-    Directory::UpstreamRecord const* selectAmong(
-        Core::ServiceId, Core::UpstreamId excluded, Liveness worstLiveness, bool isFailingAllowed);
+    Directory::UpstreamRecord const* selectAmong(Core::ServiceId, Core::UpstreamId excluded, Tier const&);
+    bool isInTier(Directory::UpstreamRecord const&, Tier const&) const;
     bool isFailingMinority(Core::ServiceId) const;
 
     LeastLoadedSelectorOptions m_options;
@@ -52,6 +60,7 @@
     UpstreamLiveness const& m_liveness;
     ZoneReachability const& m_zones;
     RequestFailureDetector const& m_failureDetector;
+    ReturningUpstreams const& m_returning;
     std::mt19937_64 m_random;
 };
 
--- a/Libraries/LibLoad/Load.h
+++ b/Libraries/LibLoad/Load.h
@@ -8,6 +8,7 @@
 #include <LibLoad/LoadTypes.h>
 #include <LibLoad/PeerReport.h>
 #include <LibLoad/RequestFailureDetector.h>
+#include <LibLoad/ReturningUpstreams.h>
 #include <LibLoad/ShortResponseDetector.h>
 #include <LibLoad/UpstreamLiveness.h>
 #include <LibLoad/UpstreamLoadCounter.h>
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -77,6 +77,7 @@
     state.suspicion = suspicion;
     state.suspectSince = m_clock.now();
     state.unansweredProbes = 0;
+    state.loss = {};
     return true;
 }
 
@@ -128,6 +129,8 @@
             m_hooks.stalled(upstream);
         return;
     }
+    if (result == LivenessProbeResult::Refused)
+        ++state.loss.refusedProbes;
     if (result == LivenessProbeResult::NotMade) {
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
         return;
@@ -181,6 +184,7 @@
 void UpstreamLiveness::becomeUnreachable(Core::UpstreamId upstream, State& state, LivenessProbeResult result)
 {
     state.liveness = Liveness::Unreachable;
+    state.loss.lostAt = m_clock.now();
     state.retryDelay = m_options.firstRetry;
     state.nextProbeAt = m_clock.now() + state.retryDelay;
     m_hooks.lost(upstream, state.suspicion, result);
@@ -193,6 +197,7 @@
         return;
     position->second.nextProbeAt = {};
     position->second.isListed = true;
+    position->second.loss = {};
     if (position->second.liveness != Liveness::Alive)
         becomeAlive(upstream, position->second);
 }
@@ -225,6 +230,12 @@
     return state == m_states.end() ? Liveness::Alive : state->second.liveness;
 }
 
+UpstreamLoss UpstreamLiveness::lossOf(Core::UpstreamId upstream) const
+{
+    auto state = m_states.find(upstream);
+    return state == m_states.end() ? UpstreamLoss {} : state->second.loss;
+}
+
 std::size_t UpstreamLiveness::unreachableCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -53,6 +53,13 @@
 
 std::string_view toString(SuspicionReason);
 
+/// What was seen of an upstream while it was unreachable.
+struct UpstreamLoss {
+    Core::TimePoint lostAt;
+    /// Probes that were refused since the upstream became suspect.
+    unsigned refusedProbes { 0 };
+};
+
 struct LivenessOptions {
     /// Number of consecutive unanswered or refused probes that make an upstream unreachable.
     unsigned probesToConfirm { 2 };
@@ -114,6 +121,8 @@
 
     Liveness livenessOf(Core::UpstreamId) const;
     std::size_t unreachableCount() const;
+    /// The present loss of an unreachable upstream, or the last one of another.
+    UpstreamLoss lossOf(Core::UpstreamId) const;
 
 private:
     struct State {
@@ -124,6 +133,7 @@
         bool isProbing { false };
         bool isListed { true };
         unsigned unansweredProbes { 0 };
+        UpstreamLoss loss {};
         /// When the upstream is probed next, or may be suspected again if it is alive.
         Core::TimePoint nextProbeAt;
         std::chrono::milliseconds retryDelay { 0 };
--- a/Libraries/LibLoad/ZoneReachability.cpp
+++ b/Libraries/LibLoad/ZoneReachability.cpp
@@ -34,7 +34,8 @@
 {
     auto& zone = m_zones[id];
     bool wasLost = zone.isLost;
-    zone = { .answeredAt = m_clock.now() };
+    auto regainedAt = wasLost ? m_clock.now() : zone.regainedAt;
+    zone = { .answeredAt = m_clock.now(), .regainedAt = regainedAt };
     if (wasLost)
         m_hooks.regained(id);
 }
@@ -45,6 +46,12 @@
     return zone == m_zones.end() || !zone->second.isLost;
 }
 
+bool ZoneReachability::wasLostSince(Core::ZoneId id, Core::TimePoint since) const
+{
+    auto zone = m_zones.find(id);
+    return zone != m_zones.end() && (zone->second.isLost || zone->second.regainedAt >= since);
+}
+
 std::size_t ZoneReachability::lostCount() const
 {
     return static_cast<std::size_t>(
--- a/Libraries/LibLoad/ZoneReachability.h
+++ b/Libraries/LibLoad/ZoneReachability.h
@@ -47,6 +47,8 @@
     void noteAnswer(Core::ZoneId);
 
     bool isReachable(Core::ZoneId) const;
+    /// Whether the zone was unreachable at any time since then.
+    bool wasLostSince(Core::ZoneId, Core::TimePoint) const;
     std::size_t lostCount() const;
 
 private:
@@ -58,6 +60,7 @@
         Core::TimePoint sampledAt;
         bool isLost { false };
         std::optional<Core::TimePoint> answeredAt;
+        std::optional<Core::TimePoint> regainedAt;
     };
 
     Core::Clock const& m_clock;
--- a/Libraries/LibMessages/gen/load_types.cpp
+++ b/Libraries/LibMessages/gen/load_types.cpp
@@ -15,13 +15,15 @@
 
 int _kUpstreamReportKindValues[] = {
   UpstreamReportKind::Unanswered,
-  UpstreamReportKind::Failing
+  UpstreamReportKind::Failing,
+  UpstreamReportKind::Returned
 };
 const char* _kUpstreamReportKindNames[] = {
   "Unanswered",
-  "Failing"
+  "Failing",
+  "Returned"
 };
-const std::map<int, const char*> _UpstreamReportKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kUpstreamReportKindValues, _kUpstreamReportKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _UpstreamReportKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kUpstreamReportKindValues, _kUpstreamReportKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const UpstreamReportKind::type& val) {
   std::map<int, const char*>::const_iterator it = _UpstreamReportKind_VALUES_TO_NAMES.find(val);
--- a/Libraries/LibMessages/gen/load_types.h
+++ b/Libraries/LibMessages/gen/load_types.h
@@ -24,7 +24,8 @@
 struct UpstreamReportKind {
   enum type {
     Unanswered = 1,
-    Failing = 2
+    Failing = 2,
+    Returned = 3
   };
 };
 
--- a/Libraries/LibMessages/load.thrift
+++ b/Libraries/LibMessages/load.thrift
@@ -41,6 +41,8 @@
     Unanswered = 1,
     /// The upstream answers probes, but requests fail or get no response.
     Failing = 2,
+    /// The upstream refused connections and accepts them again. Ignored by balancers of earlier versions.
+    Returned = 3,
 }
 
 /// A fault of an upstream that a balancer detected.
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -98,6 +98,7 @@
         return false;
     if (flow->upstream != upstream) {
         moveTo(*flow, upstream);
+        flow->openedAt = m_clock.now();
         isNew = true;
     }
     flow->lastPacketAt = m_clock.now();
--- a/Libraries/LibPlacement/TokenPlacer.cpp
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -75,7 +75,7 @@
     auto id = record->entry.upstream.id;
     bool isFirstPacketSeen = !m_flows.find(packet.flow);
     if (m_flows.recordPacket(packet, id))
-        m_hooks.progressed(id);
+        m_hooks.progressed(id, m_flows.find(packet.flow)->openedAt);
     if (record->isSuperseded || m_hooks.isLost(id)) {
         m_flows.remove(packet.flow);
         return { Verdict::Reset, Reason::UpstreamGone, record };
--- a/Libraries/LibPlacement/TokenPlacer.h
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -46,8 +46,8 @@
     std::function<bool(Core::ServiceId, std::chrono::milliseconds)> acceptsSoon;
     /// The flows of the upstream are lost: neither traffic nor probes get a response.
     std::function<bool(Core::UpstreamId)> isLost;
-    /// The caller acknowledged new data of the upstream.
-    std::function<void(Core::UpstreamId)> progressed;
+    /// The caller acknowledged new data of the upstream on a flow that this balancer knows since the given time.
+    std::function<void(Core::UpstreamId, Core::TimePoint flowOpenedAt)> progressed;
     /// The caller retransmitted an opening packet that was forwarded to the upstream at the given time.
     std::function<void(Core::UpstreamId, Core::TimePoint)> openUnanswered;
 };
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -143,7 +143,8 @@
 static std::optional<Load::PeerReport> fromMessage(Messages::UpstreamReport const& message)
 {
     bool isKnown = message.kind == Messages::UpstreamReportKind::Unanswered
-        || message.kind == Messages::UpstreamReportKind::Failing;
+        || message.kind == Messages::UpstreamReportKind::Failing
+        || message.kind == Messages::UpstreamReportKind::Returned;
     if (!isKnown)
         return std::nullopt;
     return Load::PeerReport { Core::UpstreamId { static_cast<std::uint64_t>(message.upstream) },
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace Chicorytally;
@@ -23,6 +24,8 @@
     std::vector<std::uint64_t> probed;
     std::vector<std::pair<std::uint64_t, Load::ReportKind>> reports;
     std::vector<Core::FlowKey> resets;
+    /// Since when the store has been unavailable, so that the directory may lack changes.
+    std::optional<Core::TimePoint> storeLostAt;
     Balancer::TokenBalancer balancer { clock, { .zone = LocalZone, .randomSeed = 1 }, hooks(), metrics };
 
     Fixture()
@@ -39,7 +42,11 @@
         return { .startProbe = [this](auto id, auto const&) { probed.push_back(id.value()); },
             .report = [this](auto id, auto kind) { reports.emplace_back(id.value(), kind); },
             .sendReset = [this](auto const& flow, auto) { resets.push_back(flow); },
-            .viewAge = [] { return std::optional<std::chrono::milliseconds> { 0ms }; } };
+            .viewAge = [this]() -> std::optional<std::chrono::milliseconds> {
+                if (!storeLostAt)
+                    return 0ms;
+                return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - *storeLostAt);
+            } };
     }
 
     static Directory::RouteTable routes()
@@ -108,6 +115,35 @@
             balancer.handleProbeResult(Core::UpstreamId { id }, result);
     }
 
+    /// Ticks for the duration, during which probes of the upstream are refused and those of others are answered.
+    void refuseProbesOf(std::uint64_t upstream, std::chrono::milliseconds duration)
+    {
+        for (auto end = clock.now() + duration; clock.now() < end;) {
+            tickFor(50ms);
+            for (auto id : std::exchange(probed, {}))
+                balancer.handleProbeResult(Core::UpstreamId { id },
+                    id == upstream ? Load::LivenessProbeResult::Refused : Load::LivenessProbeResult::Answered);
+        }
+    }
+
+    /// Opens confirmed flows for the duration and returns how many of them got the upstream.
+    unsigned countOpens(std::uint64_t upstream, std::chrono::milliseconds duration, std::uint16_t firstPort)
+    {
+        unsigned count = 0;
+        for (auto end = clock.now() + duration; clock.now() < end; ++firstPort) {
+            auto open = packet(PacketKind::Open, firstPort);
+            auto decision = balancer.decide(open);
+            BOOST_REQUIRE(decision.verdict == Verdict::Forward);
+            count += decision.upstream->entry.upstream.id.value() == upstream ? 1 : 0;
+            auto close = packet(PacketKind::Close, firstPort);
+            close.token = decision.token;
+            balancer.decide(close);
+            tickFor(50ms);
+            completeProbes(Load::LivenessProbeResult::Answered);
+        }
+        return count;
+    }
+
     void makeAllUnreachable()
     {
         for (std::uint16_t port = 1; port <= 9; ++port)
@@ -236,6 +272,56 @@
         BOOST_TEST(openAndRequest(port) != upstream);
 }
 
+BOOST_AUTO_TEST_CASE(RestartedUpstreamGetsNoFlowsWhileTheStoreIsUnavailable)
+{
+    // Guards against the full share of opens on a cold upstream whose entry can't show that its process was restarted.
+    storeLostAt = clock.now();
+    auto upstream = openAndRequest(1);
+    refuseProbesOf(upstream, 1200ms);
+    BOOST_TEST(balancer.unreachableCount() == 1U);
+    tickFor(1s);
+    completeProbes(Load::LivenessProbeResult::Answered);
+    BOOST_TEST(balancer.unreachableCount() == 0U);
+    BOOST_TEST(countOpens(upstream, 1900ms, 100) == 0U);
+    BOOST_TEST(countOpens(upstream, 1000ms, 200) > 3U);
+    std::pair const expected { upstream, Load::ReportKind::Returned };
+    BOOST_TEST((std::ranges::count(reports, expected) == 1));
+}
+
+BOOST_AUTO_TEST_CASE(RestartedUpstreamThatAnotherBalancerLostGetsNoFlows)
+{
+    // Guards against opens on a cold upstream through balancers that had no flows to it while it was down, and against
+    // a service that stops because no other upstream is left.
+    storeLostAt = clock.now();
+    balancer.handlePeerReport({ Core::UpstreamId { 1 }, Load::ReportKind::Returned, Core::VmId { 9 } });
+    BOOST_TEST(countOpens(1, 1900ms, 100) == 0U);
+    BOOST_TEST(countOpens(1, 1000ms, 200) > 3U);
+    tickFor(8s);
+    balancer.handlePeerReport({ Core::UpstreamId { 1 }, Load::ReportKind::Returned, Core::VmId { 9 } });
+    balancer.removeUpstream(Core::UpstreamId { 2 }, Core::Revision { 2 });
+    balancer.removeUpstream(Core::UpstreamId { 3 }, Core::Revision { 2 });
+    BOOST_TEST(countOpens(1, 1000ms, 300) == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamsOfAZoneThatWasCutOffAreUsedAtOnce)
+{
+    // Guards against avoiding the upstreams of a whole zone after its link was cut, although none of them restarted.
+    storeLostAt = clock.now();
+    for (std::uint16_t port = 1; port <= 9; ++port)
+        openAndRequest(port);
+    // A zone counts as silent 300 ms after its last answer.
+    tickFor(350ms);
+    while (!probed.empty())
+        completeProbes(Load::LivenessProbeResult::NoAnswer);
+    BOOST_TEST(balancer.lostZoneCount() != 0U);
+    tickFor(2s);
+    while (!probed.empty())
+        completeProbes(Load::LivenessProbeResult::Answered);
+    BOOST_TEST(balancer.lostZoneCount() == 0U);
+    BOOST_TEST(countOpens(1, 1000ms, 100) > 3U);
+    BOOST_TEST(countOpens(2, 1000ms, 200) > 3U);
+}
+
 BOOST_AUTO_TEST_CASE(SlowUpstreamKeepsItsFlows)
 {
     // Guards against resetting flows whose upstream is slow but responsive.
--- a/Tests/LibLoad/TestLeastLoadedSelector.cpp
+++ b/Tests/LibLoad/TestLeastLoadedSelector.cpp
@@ -27,8 +27,12 @@
     Load::ZoneReachability zones { clock, {},
         { .probeSample = [this](auto, auto) { return sample; }, .lost = [](auto) {}, .regained = [](auto) {} } };
     Load::RequestFailureDetector failureDetector { clock, { .self = Core::VmId { 1 } }, [](auto) {} };
+    Load::ReturningUpstreams returning { clock, {},
+        { .slowStartOf = [](auto) { return 2000ms; },
+            .wasCutOff = [](auto, auto) { return false; },
+            .upstreamsOfSameService = [](auto) { return std::vector<Core::UpstreamId> {}; } } };
     Load::LeastLoadedSelector selector { { .zone = LocalZone, .randomSeed = 1 }, directory, load, liveness, zones,
-        failureDetector };
+        failureDetector, returning };
 
     void fail(std::uint64_t id)
     {
@@ -99,6 +103,24 @@
     BOOST_TEST(choose() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(PossiblyColdUpstreamComesAfterWarmOnesAndBeforeSuspects)
+{
+    // Guards against full load on an upstream that has restarted while discovery couldn't show it, and against a
+    // service that stops because each of its upstreams may be cold.
+    add(1, LocalZone);
+    add(2, RemoteZone);
+    add(3, LocalZone);
+    returning.noteReturned(Core::UpstreamId { 1 }, { clock.now(), 2 });
+    liveness.suspect(Core::UpstreamId { 3 }, Load::SuspicionReason::SilentRequests, clock.now());
+    for (int i = 0; i < 20; ++i) {
+        load.requestStarted(Core::UpstreamId { 2 });
+        BOOST_TEST(choose() == 2U);
+    }
+    BOOST_TEST(choose(2) == 1U);
+    clock.advance(2s);
+    BOOST_TEST(choose() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(SuspectsComeLast)
 {
     // Guards against opens on an upstream that is down, and against refusing all opens when every upstream seems down.
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -62,7 +62,7 @@
                 },
             .acceptsSoon = [this](auto, auto limit) { return upstreamExpectedIn <= limit; },
             .isLost = [this](auto id) { return lost.contains(id.value()); },
-            .progressed = [this](auto) { ++progress; },
+            .progressed = [this](auto, auto) { ++progress; },
             .openUnanswered = [this](auto, auto) { ++unanswered; } } };
 
     Fixture()
--- a/Tests/LibRelay/TestReportExchange.cpp
+++ b/Tests/LibRelay/TestReportExchange.cpp
@@ -74,6 +74,15 @@
     BOOST_TEST(received.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ReturnIsForwardedBesidesTheLoss)
+{
+    // Guards against a return that is dropped as a copy of the report of the loss, and against one message for each
+    // balancer that notices it.
+    exchange.receive({ report(1), report(1, ReportKind::Returned) });
+    exchange.receive({ report(1, ReportKind::Returned, Core::VmId { 7 }) });
+    BOOST_CHECK((received == Reports { report(1), report(1, ReportKind::Returned) }));
+}
+
 BOOST_AUTO_TEST_CASE(OwnReportThatReturnsIsIgnored)
 {
     // Guards against a balancer that counts its own report as that of a second balancer.
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -206,27 +206,28 @@
 
 BOOST_AUTO_TEST_CASE(ReportReachesTheFollowersOfTheSeed)
 {
-    // Guards against reports that are not forwarded between balancers that don't know each other.
-    std::string error;
-    auto loop = EventLoop::Loop::create(error);
-    Core::SystemClock clock;
-    FakeStore stores[3];
-    auto address = freePort();
-    Node reader { *loop, clock, stores[0], address, { address } };
-    Node detector { *loop, clock, stores[1], freePort(), { address } };
-    Node other { *loop, clock, stores[2], freePort(), { address } };
-    for (auto* node : { &reader, &detector, &other })
-        node->subscription->start();
-    // The seed knows a follower only after its first request for changes.
-    auto report
-        = loop->timer([&] { detector.subscription->report(Core::UpstreamId { 7 }, Load::ReportKind::Failing); });
-    report->arm(200ms);
-    while (other.reported.empty())
-        loop->run();
-    Relay::Reports const expected { { Core::UpstreamId { 7 }, Load::ReportKind::Failing, detector.self } };
-    BOOST_CHECK(reader.reported == expected);
-    BOOST_CHECK(other.reported == expected);
-    BOOST_TEST(detector.reported.empty());
+    // Guards against reports of any kind that are not forwarded between balancers that don't know each other.
+    for (auto kind : { Load::ReportKind::Unanswered, Load::ReportKind::Failing, Load::ReportKind::Returned }) {
+        std::string error;
+        auto loop = EventLoop::Loop::create(error);
+        Core::SystemClock clock;
+        FakeStore stores[3];
+        auto address = freePort();
+        Node reader { *loop, clock, stores[0], address, { address } };
+        Node detector { *loop, clock, stores[1], freePort(), { address } };
+        Node other { *loop, clock, stores[2], freePort(), { address } };
+        for (auto* node : { &reader, &detector, &other })
+            node->subscription->start();
+        // The seed knows a follower only after its first request for changes.
+        auto report = loop->timer([&] { detector.subscription->report(Core::UpstreamId { 7 }, kind); });
+        report->arm(200ms);
+        while (other.reported.empty())
+            loop->run();
+        Relay::Reports const expected { { Core::UpstreamId { 7 }, kind, detector.self } };
+        BOOST_CHECK(reader.reported == expected);
+        BOOST_CHECK(other.reported == expected);
+        BOOST_TEST(detector.reported.empty());
+    }
 }
 
 BOOST_AUTO_TEST_CASE(FollowersOfARefusedReaderFallBackToTheStore)
--- a/Tests/Platform/TestStoreItems.cpp
+++ b/Tests/Platform/TestStoreItems.cpp
@@ -79,6 +79,22 @@
     BOOST_REQUIRE(split.services.size() == 2U);
     BOOST_TEST(split.services[1].weight == 10U);
     BOOST_TEST(routes.services.at(Directory::serviceId("register")).slowStartOpensPerSecond == 3.5);
+    BOOST_CHECK(routes.services.at(Directory::serviceId("register")).slowStart == 2s);
+}
+
+BOOST_AUTO_TEST_CASE(OddSlowStartOfAServiceIsUnknown)
+{
+    // Guards against a configuration that is rejected for a field which only helps against early load on upstreams that
+    // may have restarted, and against an overflow of the clock's arithmetic.
+    for (auto const* odd : { "null", "\"2\"", "-1", "1e300", "true" }) {
+        std::string error;
+        auto value = nlohmann::json::parse(ConfigurationValue);
+        value["services"][0]["warmup_s"] = nlohmann::json::parse(odd);
+        auto change = decode("op/config", value.dump(), error);
+        BOOST_REQUIRE_MESSAGE(change.has_value(), error);
+        auto const& services = std::get<Platform::RoutesChange>(*change).routes.services;
+        BOOST_CHECK(!services.at(Directory::serviceId("register")).slowStart);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(RequestPropertiesAreDecoded)
