LibBalancer: Keep flows of a restarted upstream's new process when its entry is late

Cause: an entry with a new incarnation reset all flows of the upstream.

Ruled out: comparing the incarnation, a wall-clock time of the upstream, with the local clock, which may be stepped; keeping all flows, because requests on idle flows of the ended process would be lost.

Change: the return is remembered for 120 s or until the entry shows it. Flows that are known since before the loss, or before the report of the return, are reset; later ones stay.

Result: LateEntryOfARestartedUpstreamKeepsTheFlowsOfItsNewProcess fails without the change and passes with it, as do TestLibLoad, TestLibBalancer and TestLibPlacement.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -52,7 +52,8 @@
                 logEvent(Level::Info, "upstream_restarted",
                     { { "upstream", record.entry.upstream.name },
                         { "incarnation", record.entry.incarnation.value() } });
-                abortFlows(id, "restarted");
+                // The entry may arrive long after the return, when flows of the new process are open.
+                abortFlows(id, "restarted", m_returning.newProcessSince(id).value_or(Core::TimePoint::max()));
                 m_liveness.reset(id);
                 m_returning.forget(id);
             },
@@ -277,9 +278,9 @@
     }
 }
 
-void TokenBalancer::abortFlows(Core::UpstreamId id, std::string_view cause)
+void TokenBalancer::abortFlows(Core::UpstreamId id, std::string_view cause, Core::TimePoint openedBefore)
 {
-    auto flows = m_flows.removeAll(id);
+    auto flows = m_flows.removeAll(id, openedBefore);
     auto name = nameOf(id);
     for (auto const& flow : flows) {
         m_hooks.sendReset(flow.flow, flow.acknowledgement);
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -120,7 +120,7 @@
     std::string nameOf(Core::UpstreamId) const;
     std::string nameOf(Core::ZoneId) const;
     void handleUnlisted(Directory::UpstreamRecord const&);
-    void abortFlows(Core::UpstreamId, std::string_view cause);
+    void abortFlows(Core::UpstreamId, std::string_view cause, Core::TimePoint openedBefore = Core::TimePoint::max());
     void suspectReported(Directory::UpstreamRecord const&);
     bool detectPause();
     bool hasFlows(Core::UpstreamId) const;
--- a/Libraries/LibLoad/ReturningUpstreams.cpp
+++ b/Libraries/LibLoad/ReturningUpstreams.cpp
@@ -8,6 +8,9 @@
 
 // Records of processes that were seen at work longer ago only cost memory.
 static constexpr std::chrono::seconds RunRetention { 60 };
+// How long a return is remembered for the entry that shows it. Longer than outages of discovery that were seen; without
+// it, the flows that the entry finds are reset.
+static constexpr std::chrono::seconds ReturnRetention { 120 };
 
 ReturningUpstreams::ReturningUpstreams(
     Core::Clock const& clock, ReturningUpstreamsOptions options, ReturningUpstreamsHooks hooks)
@@ -74,8 +77,10 @@
         return;
     auto lostAt = position->second.lostAt;
     bool isFromBeforeTheLoss = lostAt && run.since <= *lostAt;
-    if (isFromBeforeTheLoss || now - run.since >= slowStartOf(upstream))
+    if (isFromBeforeTheLoss)
         m_returns.erase(position);
+    else if (now - run.since >= slowStartOf(upstream))
+        position->second.isWarm = true;
 }
 
 void ReturningUpstreams::noteSynchronised(Core::TimePoint time)
@@ -95,7 +100,7 @@
 {
     // The entry of an upstream that has restarted shows it after one heartbeat, which a busy upstream may miss.
     auto entryDueAt = std::max(recorded.at, m_synchronisedSince) + 2 * m_options.heartbeat;
-    return m_synchronisedAt >= entryDueAt || m_clock.now() - recorded.at >= slowStartOf(upstream);
+    return recorded.isWarm || m_synchronisedAt >= entryDueAt || m_clock.now() - recorded.at >= slowStartOf(upstream);
 }
 
 bool ReturningUpstreams::isPossiblyCold(Core::UpstreamId upstream) const
@@ -106,10 +111,18 @@
     return position != m_returns.end() && !hasEnded(upstream, position->second);
 }
 
+std::optional<Core::TimePoint> ReturningUpstreams::newProcessSince(Core::UpstreamId upstream) const
+{
+    auto position = m_returns.find(upstream);
+    if (position == m_returns.end())
+        return std::nullopt;
+    return position->second.lostAt.value_or(position->second.at);
+}
+
 void ReturningUpstreams::removeExpired()
 {
     auto now = m_clock.now();
-    absl::erase_if(m_returns, [this](auto const& entry) { return hasEnded(entry.first, entry.second); });
+    absl::erase_if(m_returns, [&](auto const& entry) { return now - entry.second.at >= ReturnRetention; });
     absl::erase_if(m_runs, [&](auto const& entry) { return now - entry.second.until >= RunRetention; });
     absl::erase_if(m_reportedAt, [&](auto const& entry) { return now - entry.second >= m_options.reportInterval; });
 }
--- a/Libraries/LibLoad/ReturningUpstreams.h
+++ b/Libraries/LibLoad/ReturningUpstreams.h
@@ -60,6 +60,9 @@
     void removeExpired();
 
     bool isPossiblyCold(Core::UpstreamId) const;
+    /// The time after which an upstream that has returned serves new flows with its present process. Unset if no return
+    /// is known since its last entry.
+    std::optional<Core::TimePoint> newProcessSince(Core::UpstreamId) const;
 
 private:
     /// A time in which the upstream's process is known to have run without a restart.
@@ -72,6 +75,7 @@
         Core::TimePoint at;
         /// When this balancer lost the upstream; unset if it only knows of the return from a report.
         std::optional<Core::TimePoint> lostAt;
+        bool isWarm { false };
     };
 
     std::chrono::milliseconds slowStartOf(Core::UpstreamId) const;
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -153,12 +153,13 @@
     m_flows.erase(flow);
 }
 
-std::vector<TokenFlowTable::EndedFlow> TokenFlowTable::removeAll(Core::UpstreamId upstream)
+std::vector<TokenFlowTable::EndedFlow> TokenFlowTable::removeAll(
+    Core::UpstreamId upstream, Core::TimePoint openedBefore)
 {
     std::vector<EndedFlow> established;
     absl::erase_if(m_flows, [&](auto const& entry) {
         auto const& [key, flow] = entry;
-        if (flow.upstream != upstream)
+        if (flow.upstream != upstream || flow.openedAt >= openedBefore)
             return false;
         if (flow.isEstablished && !flow.isClosed)
             established.push_back({ key, flow.acknowledgement, flow.requestStartedAt ? flow.requestId : 0 });
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -84,8 +84,9 @@
     /// Marks the flow as closed by the caller; it is removed when it expires.
     void close(Core::FlowKey const&);
     void remove(Core::FlowKey const&);
-    /// Removes the flows of an upstream and returns those that were established and open.
-    std::vector<EndedFlow> removeAll(Core::UpstreamId);
+    /// Removes the flows of an upstream that are known since before the given time and returns those that were
+    /// established and open.
+    std::vector<EndedFlow> removeAll(Core::UpstreamId, Core::TimePoint openedBefore = Core::TimePoint::max());
     /// Opens whose flow the caller has not continued within the limit; each is returned once.
     std::vector<UnansweredFlow> takeUnconfirmedOpens(std::chrono::milliseconds limit);
     /// Flows whose request has been in flight for the limit; each request is returned once.
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -288,6 +288,33 @@
     BOOST_TEST((std::ranges::count(reports, expected) == 1));
 }
 
+BOOST_AUTO_TEST_CASE(LateEntryOfARestartedUpstreamKeepsTheFlowsOfItsNewProcess)
+{
+    // Guards against resetting flows of a living process because its entry arrives when the store is back, long after
+    // the restart. Flows of the ended process are reset.
+    storeLostAt = clock.now();
+    auto upstream = openAndRequest(1);
+    refuseProbesOf(upstream, 1200ms);
+    tickFor(1s);
+    completeProbes(Load::LivenessProbeResult::Answered);
+    tickFor(3s);
+    std::uint16_t port = 100;
+    while (openAndRequest(port) != upstream)
+        ++port;
+    resets.clear();
+    storeLostAt.reset();
+    auto entry = balancer.directory().find(Core::UpstreamId { upstream })->entry;
+    entry.incarnation = Core::Incarnation { 1000 };
+    entry.revision = Core::Revision { 2 };
+    balancer.applyUpstream(entry);
+    BOOST_TEST(resets.empty());
+    entry.incarnation = Core::Incarnation { 2000 };
+    entry.revision = Core::Revision { 3 };
+    balancer.applyUpstream(entry);
+    BOOST_REQUIRE(resets.size() == 1U);
+    BOOST_TEST(resets.front().source.port == port);
+}
+
 BOOST_AUTO_TEST_CASE(RestartedUpstreamThatAnotherBalancerLostGetsNoFlows)
 {
     // Guards against opens on a cold upstream through balancers that had no flows to it while it was down, and against
--- a/Tests/LibLoad/TestReturningUpstreams.cpp
+++ b/Tests/LibLoad/TestReturningUpstreams.cpp
@@ -183,6 +183,20 @@
     BOOST_TEST(firstIsCold.count() <= 6 * SlowStart.count());
 }
 
+BOOST_AUTO_TEST_CASE(ReturnIsRememberedUntilTheEntryShowsIt)
+{
+    // Guards against resetting flows of the new process when its entry arrives after a long outage of discovery.
+    BOOST_TEST(!returning.newProcessSince(Upstream).has_value());
+    auto lostAt = clock.now();
+    loseAndReturn(3);
+    clock.advance(20s);
+    returning.removeExpired();
+    BOOST_TEST(!returning.isPossiblyCold(Upstream));
+    BOOST_CHECK(returning.newProcessSince(Upstream) == lostAt);
+    returning.forget(Upstream);
+    BOOST_TEST(!returning.newProcessSince(Upstream).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(EntryOfTheNewProcessEndsIt)
 {
     // Guards against holding back an upstream whose entry tells when its slow start ends.
