LibLoad, LibBalancer: Keep flows of an upstream that refuses probes but may be at its connection limit

Cause: a refused probe counted as the end of the process. Two refusals 50 ms apart ended the flows of a listed upstream, and a single one those of an upstream whose entry had lapsed.

Change: refused probes keep new flows away and never end the flows of a listed upstream; the VM of an ended process resets them itself, so their packets are forwarded. Flows end after consecutive probes without any answer (two; four if the upstream was suspected in vain within 5 s), when an upstream without an entry refuses all probes for 1 s without progress, or when a draining one's entry is gone. Flows from before a loss that stay silent until the upstream counts as warm are forgotten without a reset, as they would count as load of its new process for 15 s.

Lost: idle flows of a crashed upstream are no longer reset in advance while its entry stands.

Tests: UnlistedUpstreamIsProbedUntilItEnds and FlowsOfAnUnlistedUpstreamThatRefusesProbesAreReset expected the end after one refusal, in the same instant as progress, which is the fault; they now require that refusals go on for 1 s and that the flows end then. ClosingUpstreamIsLostWithItsEntry passes the result that TokenBalancer now reports for a draining upstream without an entry. ProbeResultsDetermineLiveness also checks whether flows have ended.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -91,8 +91,9 @@
             [this](Core::UpstreamId id, Load::SuspicionReason suspicion, Load::LivenessProbeResult probe) {
                 logEvent(Level::Warn, "upstream_lost",
                     { { "upstream", nameOf(id) }, { "suspicion", toString(suspicion) }, { "probe", toString(probe) } });
-                abortFlows(id, toString(suspicion));
             },
+        .flowsEnded
+        = [this](Core::UpstreamId id, Load::SuspicionReason suspicion) { abortFlows(id, toString(suspicion)); },
         .regained = [this](Core::UpstreamId id) { recordReturn(id); },
     };
 }
@@ -120,6 +121,9 @@
                 }
                 return upstreams;
             },
+        // Without a reset, as they may be idle flows of a process that has never ended. Their next packet is forwarded
+        // all the same; until then they would count as load of the new process.
+        .formerFlowsSilent = [this](Core::UpstreamId id, Core::TimePoint lostAt) { m_flows.removeAll(id, lostAt); },
     };
 }
 
@@ -159,7 +163,7 @@
         = [this](Core::ServiceId service, Core::UpstreamId excluded) { return m_choice.choose(service, excluded); },
         .acceptsSoon
         = [this](Core::ServiceId service, std::chrono::milliseconds limit) { return acceptsSoon(service, limit); },
-        .isLost = [this](Core::UpstreamId id) { return m_liveness.livenessOf(id) == Liveness::Unreachable; },
+        .isLost = [this](Core::UpstreamId id) { return m_liveness.haveFlowsEnded(id); },
         .progressed =
             [this](Core::UpstreamId id, Core::TimePoint flowOpenedAt) {
                 // Before the liveness, which asks whether the process that answers again is the one that was lost.
@@ -303,9 +307,10 @@
     logEvent(Level::Info, "upstream_probed", { { "upstream", nameOf(id) }, { "result", toString(result) } });
     recordZoneProbe(id, result);
     auto const* record = m_directory.find(id);
-    bool isDraining = record && record->isListed && record->entry.upstream.isDraining();
-    bool isClosing = isDraining && result == Load::LivenessProbeResult::Refused;
-    m_liveness.probeEnded(id, isClosing ? Load::LivenessProbeResult::Closing : result);
+    bool isDraining = record && record->entry.upstream.isDraining();
+    if (isDraining && result == Load::LivenessProbeResult::Refused)
+        result = record->isListed ? Load::LivenessProbeResult::Closing : Load::LivenessProbeResult::Ended;
+    m_liveness.probeEnded(id, result);
 }
 
 bool TokenBalancer::hasFlows(Core::UpstreamId id) const { return m_load.loadOf(id).openFlows != 0; }
@@ -409,6 +414,7 @@
     m_liveness.tick();
     if (auto age = m_hooks.viewAge())
         m_returning.noteSynchronised(m_clock.now() - *age);
+    m_returning.tick();
     m_log.logSuppressedLines();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
--- a/Libraries/LibLoad/ReturningUpstreams.cpp
+++ b/Libraries/LibLoad/ReturningUpstreams.cpp
@@ -119,6 +119,17 @@
     return position->second.lostAt.value_or(position->second.at);
 }
 
+void ReturningUpstreams::tick()
+{
+    for (auto& [upstream, recorded] : m_returns) {
+        if (recorded.isEndReported || !recorded.lostAt || !hasEnded(upstream, recorded))
+            continue;
+        recorded.isEndReported = true;
+        if (m_hooks.formerFlowsSilent)
+            m_hooks.formerFlowsSilent(upstream, *recorded.lostAt);
+    }
+}
+
 void ReturningUpstreams::removeExpired()
 {
     auto now = m_clock.now();
--- a/Libraries/LibLoad/ReturningUpstreams.h
+++ b/Libraries/LibLoad/ReturningUpstreams.h
@@ -38,6 +38,9 @@
     std::function<bool(Core::UpstreamId, Core::TimePoint)> wasCutOff;
     /// The upstreams of the same service that accept new flows.
     std::function<std::vector<Core::UpstreamId>(Core::UpstreamId)> upstreamsOfSameService;
+    /// An upstream that was lost at the given time no longer counts as possibly cold, and no flow from before has made
+    /// progress, so that its former process has most likely ended with them. May be empty.
+    std::function<void(Core::UpstreamId, Core::TimePoint lostAt)> formerFlowsSilent;
 };
 
 /// Determines which upstreams may have restarted without service discovery showing it, so that they may be cold: those
@@ -57,6 +60,8 @@
     void noteSynchronised(Core::TimePoint);
     /// Discards what is known of the upstream, because its entry now shows whether it is in slow start.
     void forget(Core::UpstreamId);
+    /// Must be called every 50 ms.
+    void tick();
     void removeExpired();
 
     bool isPossiblyCold(Core::UpstreamId) const;
@@ -76,6 +81,7 @@
         /// When this balancer lost the upstream; unset if it only knows of the return from a report.
         std::optional<Core::TimePoint> lostAt;
         bool isWarm { false };
+        bool isEndReported { false };
     };
 
     std::chrono::milliseconds slowStartOf(Core::UpstreamId) const;
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -27,6 +27,8 @@
         return "refused";
     case LivenessProbeResult::Closing:
         return "closing";
+    case LivenessProbeResult::Ended:
+        return "ended";
     case LivenessProbeResult::NoAnswer:
         return "no_answer";
     case LivenessProbeResult::NotMade:
@@ -77,6 +79,7 @@
     state.suspicion = suspicion;
     state.suspectSince = m_clock.now();
     state.unansweredProbes = 0;
+    state.silentProbes = 0;
     state.loss = {};
     return true;
 }
@@ -102,8 +105,21 @@
     auto& state = m_states[upstream];
     state.isListed = false;
     state.nextProbeAt = m_clock.now();
-    if (m_hooks.hasFlows(upstream))
+    probeUnlisted(upstream, state);
+}
+
+void UpstreamLiveness::probeUnlisted(Core::UpstreamId upstream, State& state)
+{
+    if (!m_hooks.hasFlows(upstream))
+        return;
+    if (state.liveness == Liveness::Alive) {
         suspect(upstream, SuspicionReason::Unlisted, m_clock.now());
+    } else if (state.liveness == Liveness::Unreachable && !state.haveFlowsEnded) {
+        // Only the entry showed that the process may still run.
+        state.liveness = Liveness::Suspect;
+        state.suspicion = SuspicionReason::Unlisted;
+        startProbe(upstream, state);
+    }
 }
 
 void UpstreamLiveness::startProbe(Core::UpstreamId upstream, State& state)
@@ -129,21 +145,51 @@
             m_hooks.stalled(upstream);
         return;
     }
+    state.silentProbes = result == LivenessProbeResult::NoAnswer ? state.silentProbes + 1 : 0;
     if (result == LivenessProbeResult::Refused)
         ++state.loss.refusedProbes;
     if (result == LivenessProbeResult::NotMade) {
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
         return;
     }
-    if (state.liveness == Liveness::Unreachable) {
-        state.retryDelay = std::min(state.retryDelay * 2, m_options.maximumRetry);
-        state.nextProbeAt = m_clock.now() + state.retryDelay;
-        return;
-    }
-    if (state.liveness == Liveness::Suspect)
+    if (state.liveness == Liveness::Unreachable)
+        handleFailedRetry(upstream, state, result);
+    else if (state.liveness == Liveness::Suspect)
         handleFailedProbe(upstream, state, result);
 }
 
+void UpstreamLiveness::handleFailedRetry(Core::UpstreamId upstream, State& state, LivenessProbeResult result)
+{
+    state.retryDelay = std::min(state.retryDelay * 2, m_options.maximumRetry);
+    state.nextProbeAt = m_clock.now() + state.retryDelay;
+    if (!state.haveFlowsEnded && hasEvidenceOfEnd(state, result))
+        endFlows(upstream, state);
+}
+
+bool UpstreamLiveness::hasEvidenceOfEnd(State const& state, LivenessProbeResult result) const
+{
+    switch (result) {
+    case LivenessProbeResult::NoAnswer:
+        return state.silentProbes >= probesToConfirm(state);
+    case LivenessProbeResult::Ended:
+        return true;
+    case LivenessProbeResult::Refused:
+        return !state.isListed && m_clock.now() - state.suspectSince >= m_options.endConfirmation;
+    case LivenessProbeResult::Answered:
+    case LivenessProbeResult::Closing:
+    case LivenessProbeResult::NotMade:
+        return false;
+    }
+    return false;
+}
+
+void UpstreamLiveness::endFlows(Core::UpstreamId upstream, State& state)
+{
+    state.haveFlowsEnded = true;
+    if (m_hooks.flowsEnded)
+        m_hooks.flowsEnded(upstream, state.suspicion);
+}
+
 void UpstreamLiveness::handleFailedProbe(Core::UpstreamId upstream, State& state, LivenessProbeResult result)
 {
     ++state.unansweredProbes;
@@ -152,30 +198,45 @@
     bool isClosing = result == LivenessProbeResult::Closing;
     if (state.unansweredProbes == 1 && isOwnObservation && !isClosing && m_hooks.probeUnanswered)
         m_hooks.probeUnanswered(upstream);
-    bool isEnded = result == LivenessProbeResult::Refused && !state.isListed;
-    if (isEnded || state.unansweredProbes >= probesToConfirm(state))
+    bool isEnded = hasEvidenceOfEnd(state, result);
+    // An unlisted upstream gets no new flows, so that it is only probed to find out whether its flows have ended.
+    bool isUnreachable = state.isListed && state.unansweredProbes >= probesToConfirm(state);
+    if (isEnded || isUnreachable)
         becomeUnreachable(upstream, state, result);
-    else if (isClosing)
+    else
+        scheduleProbe(upstream, state, result);
+    if (isEnded)
+        endFlows(upstream, state);
+}
+
+void UpstreamLiveness::scheduleProbe(Core::UpstreamId upstream, State& state, LivenessProbeResult result)
+{
+    if (result == LivenessProbeResult::Closing)
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
     else if (result == LivenessProbeResult::Refused)
-        state.nextProbeAt = m_clock.now() + m_options.refusalRetry;
+        state.nextProbeAt = m_clock.now() + (state.isListed ? m_options.refusalRetry : m_options.unlistedRefusalRetry);
     else
         startProbe(upstream, state);
 }
 
 unsigned UpstreamLiveness::probesToConfirm(State const& state) const
 {
+    bool isSlow = state.slowAt && m_clock.now() - *state.slowAt < m_options.slowMemory;
+    auto usual = isSlow ? m_options.probesToConfirmIfSlow : m_options.probesToConfirm;
     if (m_lastAnswerAt >= state.suspectSince || !state.isListed)
-        return m_options.probesToConfirm;
+        return usual;
     auto suspects = static_cast<std::size_t>(std::ranges::count_if(m_states,
         [](auto const& entry) { return entry.second.isListed && entry.second.liveness == Liveness::Suspect; }));
-    return suspects >= m_options.suspectsForDoubt ? m_options.probesToConfirmInDoubt : m_options.probesToConfirm;
+    return suspects >= m_options.suspectsForDoubt ? m_options.probesToConfirmInDoubt : usual;
 }
 
 void UpstreamLiveness::becomeAlive(Core::UpstreamId upstream, State& state)
 {
     bool wasUnreachable = state.liveness == Liveness::Unreachable;
+    if (state.liveness != Liveness::Alive && !state.haveFlowsEnded)
+        state.slowAt = m_clock.now();
     state.liveness = Liveness::Alive;
+    state.haveFlowsEnded = false;
     state.nextProbeAt = m_clock.now() + m_options.probeHoldoff;
     if (wasUnreachable)
         m_hooks.regained(upstream);
@@ -200,6 +261,7 @@
     position->second.loss = {};
     if (position->second.liveness != Liveness::Alive)
         becomeAlive(upstream, position->second);
+    position->second.slowAt.reset();
 }
 
 void UpstreamLiveness::retry(Core::UpstreamId upstream)
@@ -219,8 +281,8 @@
             = state.liveness == Liveness::Suspect || (state.isListed && state.liveness == Liveness::Unreachable);
         if (needsProbe)
             startProbe(upstream, state);
-        else if (!state.isListed && state.liveness == Liveness::Alive && m_hooks.hasFlows(upstream))
-            suspect(upstream, SuspicionReason::Unlisted, m_clock.now());
+        else if (!state.isListed)
+            probeUnlisted(upstream, state);
     }
 }
 
@@ -236,6 +298,12 @@
     return state == m_states.end() ? UpstreamLoss {} : state->second.loss;
 }
 
+bool UpstreamLiveness::haveFlowsEnded(Core::UpstreamId upstream) const
+{
+    auto state = m_states.find(upstream);
+    return state != m_states.end() && state->second.haveFlowsEnded;
+}
+
 std::size_t UpstreamLiveness::unreachableCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -16,7 +17,7 @@
     Alive,
     /// The upstream is silent and being probed. New flows avoid it.
     Suspect,
-    /// Neither traffic nor probes get an answer. The upstream's flows are lost, and new ones avoid it.
+    /// Probes are refused or get no answer. New flows avoid the upstream. Its flows are lost only if haveFlowsEnded().
     Unreachable,
 };
 
@@ -30,6 +31,8 @@
     Refused,
     /// As Refused, but the upstream is draining: it may close its listener before it has sent its last responses.
     Closing,
+    /// As Refused, after the upstream was draining and service discovery removed its entry.
+    Ended,
     NoAnswer,
     /// The probe couldn't be made for a local reason.
     NotMade,
@@ -67,9 +70,19 @@
     /// failed, or be full for some hundred milliseconds.
     std::size_t suspectsForDoubt { 3 };
     unsigned probesToConfirmInDoubt { 6 };
+    /// The same for an upstream that was suspected within slowMemory although it was alive. A process that is slow to
+    /// accept connections drops probes while its queue is full.
+    unsigned probesToConfirmIfSlow { 4 };
+    /// Overloads last for some seconds, and slow upstreams are suspected about once a second.
+    std::chrono::milliseconds slowMemory { 5000 };
     /// Delay before a listed upstream that refused a probe is probed again. It may be at its connection limit for a
     /// moment; a longer delay costs requests on idle flows of upstreams that have crashed.
     std::chrono::milliseconds refusalRetry { 50 };
+    /// How long an upstream without an entry must refuse all probes, and make no progress, until its process counts as
+    /// ended. Entries of a busy upstream may lapse for a moment, and its connection limit may be reached meanwhile.
+    std::chrono::milliseconds endConfirmation { 1000 };
+    /// Delay before an unlisted upstream that refused a probe is probed again.
+    std::chrono::milliseconds unlistedRefusalRetry { 200 };
     /// A suspect that answered a probe isn't probed again for this long, as a slow upstream is silent without having
     /// failed.
     std::chrono::milliseconds probeHoldoff { 1000 };
@@ -90,12 +103,16 @@
     std::function<void(Core::UpstreamId)> stalled;
     /// The upstream became unreachable, with the reason of the suspicion and the result of the last probe.
     std::function<void(Core::UpstreamId, SuspicionReason, LivenessProbeResult)> lost;
+    /// The flows of an unreachable upstream have ended, with the reason of the suspicion.
+    std::function<void(Core::UpstreamId, SuspicionReason)> flowsEnded;
     /// An unreachable upstream answered.
     std::function<void(Core::UpstreamId)> regained;
 };
 
-/// Detects upstreams that went silent from the traffic of this balancer, and confirms each by probes before its flows
-/// are considered lost. Not thread-safe.
+/// Detects upstreams that went silent from the traffic of this balancer, and confirms each by probes. Flows are
+/// considered lost only if nothing answers at the address, or if the process has no entry and refuses all probes: the
+/// VM of a process that has ended resets its flows itself, and a process at its connection limit refuses probes as
+/// well. Not thread-safe.
 class UpstreamLiveness {
 public:
     UpstreamLiveness(Core::Clock const&, LivenessOptions, LivenessHooks);
@@ -120,6 +137,8 @@
     void tick();
 
     Liveness livenessOf(Core::UpstreamId) const;
+    /// Whether packets of the upstream's flows get no response at all, or its process has ended.
+    bool haveFlowsEnded(Core::UpstreamId) const;
     std::size_t unreachableCount() const;
     /// The present loss of an unreachable upstream, or the last one of another.
     UpstreamLoss lossOf(Core::UpstreamId) const;
@@ -133,6 +152,11 @@
         bool isProbing { false };
         bool isListed { true };
         unsigned unansweredProbes { 0 };
+        /// Consecutive probes without any answer.
+        unsigned silentProbes { 0 };
+        bool haveFlowsEnded { false };
+        /// When a suspicion last proved wrong.
+        std::optional<Core::TimePoint> slowAt {};
         UpstreamLoss loss {};
         /// When the upstream is probed next, or may be suspected again if it is alive.
         Core::TimePoint nextProbeAt;
@@ -141,7 +165,12 @@
 
     bool becomeSuspect(State&, SuspicionReason, Core::TimePoint silentSince);
     void startProbe(Core::UpstreamId, State&);
+    void probeUnlisted(Core::UpstreamId, State&);
     void handleFailedProbe(Core::UpstreamId, State&, LivenessProbeResult);
+    void handleFailedRetry(Core::UpstreamId, State&, LivenessProbeResult);
+    bool hasEvidenceOfEnd(State const&, LivenessProbeResult) const;
+    void scheduleProbe(Core::UpstreamId, State&, LivenessProbeResult);
+    void endFlows(Core::UpstreamId, State&);
     unsigned probesToConfirm(State const&) const;
     void becomeAlive(Core::UpstreamId, State&);
     void becomeUnreachable(Core::UpstreamId, State&, LivenessProbeResult);
--- a/Libraries/LibPlacement/TokenPlacer.h
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -44,7 +44,7 @@
     std::function<Directory::UpstreamRecord const*(Core::ServiceId, Core::UpstreamId excluded)> choose;
     /// Whether an upstream of the service is expected to accept new flows within the time.
     std::function<bool(Core::ServiceId, std::chrono::milliseconds)> acceptsSoon;
-    /// The flows of the upstream are lost: neither traffic nor probes get a response.
+    /// The flows of the upstream are lost: their packets get no response, or its process has ended.
     std::function<bool(Core::UpstreamId)> isLost;
     /// The caller acknowledged new data of the upstream on a flow that this balancer knows since the given time.
     std::function<void(Core::UpstreamId, Core::TimePoint flowOpenedAt)> progressed;
--- a/Tests/LibBalancer/SiteSimulation.cpp
+++ b/Tests/LibBalancer/SiteSimulation.cpp
@@ -41,6 +41,7 @@
     std::size_t zone { 0 };
     bool isAlive { true };
     bool isUnresponsive { false };
+    bool isRefusingProbes { false };
     bool isListed { true };
     std::optional<Core::TimePoint> drainingSince;
     std::chrono::milliseconds serviceTime { 40 };
@@ -229,6 +230,11 @@
     m_upstreams[upstream]->serviceTime = time;
 }
 
+void SiteSimulation::setRefusingProbes(std::size_t upstream, bool isRefusing)
+{
+    m_upstreams[upstream]->isRefusingProbes = isRefusing;
+}
+
 void SiteSimulation::setListed(std::size_t upstream, bool isListed)
 {
     m_upstreams[upstream]->isListed = isListed;
@@ -283,7 +289,8 @@
     auto const& upstream = *m_upstreams[index];
     if (upstream.isUnresponsive || !isConnected(zone, upstream.zone))
         return Load::LivenessProbeResult::NoAnswer;
-    return upstream.isAlive ? Load::LivenessProbeResult::Answered : Load::LivenessProbeResult::Refused;
+    return upstream.isAlive && !upstream.isRefusingProbes ? Load::LivenessProbeResult::Answered
+                                                          : Load::LivenessProbeResult::Refused;
 }
 
 std::optional<std::size_t> SiteSimulation::indexOf(Core::UpstreamId id) const
--- a/Tests/LibBalancer/SiteSimulation.h
+++ b/Tests/LibBalancer/SiteSimulation.h
@@ -54,6 +54,8 @@
     /// The upstream no longer answers any packet.
     void becomeUnresponsive(std::size_t upstream);
     void setServiceTime(std::size_t upstream, std::chrono::milliseconds);
+    /// Whether the upstream refuses probes although it serves, as one at its connection limit.
+    void setRefusingProbes(std::size_t upstream, bool);
     /// Removes or restores the upstream's entry while the upstream keeps running.
     void setListed(std::size_t upstream, bool);
     void setZoneOutOfService(std::size_t zone, bool);
--- a/Tests/LibBalancer/TestSiteSimulation.cpp
+++ b/Tests/LibBalancer/TestSiteSimulation.cpp
@@ -41,6 +41,30 @@
         },
         6, 0 },
     { "upstream is slow", [](SiteSimulation& site) { site.setServiceTime(2, 700ms); }, 0, 0 },
+    { "slow upstreams refuse probes",
+        [](SiteSimulation& site) {
+            for (std::size_t i = 0; i < site.upstreamCount(); i += 2) {
+                site.setServiceTime(i, 700ms);
+                site.setRefusingProbes(i, true);
+            }
+            site.run(3s);
+            for (std::size_t i = 0; i < site.upstreamCount(); i += 2)
+                site.setRefusingProbes(i, false);
+        },
+        0, 0 },
+    { "upstreams refuse probes while their entries expire and return",
+        [](SiteSimulation& site) {
+            for (std::size_t i = 0; i < site.upstreamCount(); i += 2) {
+                site.setRefusingProbes(i, true);
+                site.setListed(i, false);
+            }
+            site.run(2s);
+            for (std::size_t i = 0; i < site.upstreamCount(); i += 2) {
+                site.setRefusingProbes(i, false);
+                site.setListed(i, true);
+            }
+        },
+        0, 0 },
     { "entries expire and return",
         [](SiteSimulation& site) {
             for (std::size_t i = 0; i < site.upstreamCount(); i += 2)
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -376,9 +376,55 @@
     auto upstream = openAndRequest(1);
     balancer.removeUpstream(Core::UpstreamId { upstream }, Core::Revision { 2 });
     completeProbes(Load::LivenessProbeResult::Refused);
+    BOOST_TEST(resets.empty());
+    refuseProbesOf(upstream, 1200ms);
     BOOST_TEST(resets.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(UpstreamAtItsConnectionLimitKeepsItsFlows)
+{
+    // Guards against resetting flows of a slow upstream that refuses probes and opens because it has as many
+    // connections as it accepts. It is unlisted for a moment meanwhile.
+    auto upstream = openAndRequest(1);
+    auto token = Directory::routingToken(Core::UpstreamId { upstream });
+    refuseProbesOf(upstream, 1500ms);
+    BOOST_TEST(balancer.unreachableCount() == 1U);
+    auto request = packet(PacketKind::Data, 1);
+    request.token = token;
+    request.sequence = 1;
+    request.acknowledgement = 1;
+    request.length = 100;
+    BOOST_CHECK(balancer.decide(request).verdict == Verdict::Forward);
+    auto answer = packet(PacketKind::Data, 1);
+    answer.token = token;
+    answer.sequence = 101;
+    answer.acknowledgement = 500;
+    BOOST_CHECK(balancer.decide(answer).verdict == Verdict::Forward);
+    BOOST_TEST(balancer.unreachableCount() == 0U);
+    balancer.removeUpstream(Core::UpstreamId { upstream }, Core::Revision { 2 });
+    refuseProbesOf(upstream, 500ms);
+    answer.acknowledgement = 900;
+    balancer.decide(answer);
+    refuseProbesOf(upstream, 500ms);
+    auto entry = balancer.directory().find(Core::UpstreamId { upstream })->entry;
+    entry.revision = Core::Revision { 3 };
+    balancer.applyUpstream(entry);
+    refuseProbesOf(upstream, 1500ms);
+    BOOST_TEST(resets.empty());
+}
+
+BOOST_AUTO_TEST_CASE(CrashedUpstreamThatRefusesProbesGetsNoNewFlows)
+{
+    // Guards against opens that a crashed upstream's VM refuses. The VM resets its flows with their next packet, which
+    // must therefore be forwarded.
+    auto upstream = openAndRequest(1);
+    refuseProbesOf(upstream, 500ms);
+    BOOST_TEST(countOpens(upstream, 1000ms, 100) == 0U);
+    auto data = packet(PacketKind::Data, 1);
+    data.token = Directory::routingToken(Core::UpstreamId { upstream });
+    BOOST_CHECK(balancer.decide(data).verdict == Verdict::Forward);
+}
+
 BOOST_AUTO_TEST_CASE(ReusedAddressResetsFlowsOfThePreviousUpstream)
 {
     // Guards against keeping flows of an upstream whose address another one has reused.
--- a/Tests/LibLoad/TestReturningUpstreams.cpp
+++ b/Tests/LibLoad/TestReturningUpstreams.cpp
@@ -18,6 +18,7 @@
     Core::ManualClock clock;
     std::optional<std::chrono::milliseconds> slowStart { SlowStart };
     bool wasCutOff { false };
+    unsigned formerFlowsSilent { 0 };
     Load::ReturningUpstreams returning { clock, { .heartbeat = Heartbeat },
         { .slowStartOf = [this](auto) { return slowStart; },
             .wasCutOff = [this](auto, auto) { return wasCutOff; },
@@ -27,7 +28,8 @@
                     for (std::uint64_t id = 1; id <= UpstreamsOfService; ++id)
                         upstreams.emplace_back(id);
                     return upstreams;
-                } } };
+                },
+            .formerFlowsSilent = [this](auto, auto) { ++formerFlowsSilent; } } };
 
     bool loseAndReturn(unsigned refusedProbes)
     {
@@ -197,6 +199,26 @@
     BOOST_TEST(!returning.newProcessSince(Upstream).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FormerFlowsAreReportedOnceIfNoneMakesProgress)
+{
+    // Guards against flows of an ended process that count as load of the new one, and against forgetting the flows of a
+    // process that never ended.
+    auto openedAt = clock.now();
+    loseAndReturn(3);
+    clock.advance(SlowStart - 50ms);
+    returning.tick();
+    BOOST_TEST(formerFlowsSilent == 0U);
+    clock.advance(50ms);
+    returning.tick();
+    returning.tick();
+    BOOST_TEST(formerFlowsSilent == 1U);
+    loseAndReturn(3);
+    returning.noteProgress(Upstream, openedAt);
+    clock.advance(SlowStart);
+    returning.tick();
+    BOOST_TEST(formerFlowsSilent == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(EntryOfTheNewProcessEndsIt)
 {
     // Guards against holding back an upstream whose entry tells when its slow start ends.
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -19,6 +19,7 @@
     unsigned probes { 0 };
     unsigned unanswered { 0 };
     unsigned lost { 0 };
+    unsigned flowsEnded { 0 };
     unsigned regained { 0 };
     bool hasFlows { true };
     Load::UpstreamLiveness liveness { clock, {},
@@ -26,6 +27,7 @@
             .hasFlows = [this](auto) { return hasFlows; },
             .probeUnanswered = [this](auto) { ++unanswered; },
             .lost = [this](auto, auto, auto) { ++lost; },
+            .flowsEnded = [this](auto, auto) { ++flowsEnded; },
             .regained = [this](auto) { ++regained; } } };
 
     void suspect() { liveness.suspect(Upstream, SuspicionReason::SilentRequests, clock.now() - 200ms); }
@@ -36,20 +38,30 @@
     std::vector<LivenessProbeResult> results;
     Liveness expected;
     unsigned expectedLosses;
+    bool haveFlowsEnded;
 };
 
 std::ostream& operator<<(std::ostream& stream, ProbeCase const& testCase) { return stream << testCase.name; }
 
 ProbeCase const ProbeCases[] {
-    { "answered", { LivenessProbeResult::Answered }, Liveness::Alive, 0 },
-    { "one refusal", { LivenessProbeResult::Refused }, Liveness::Suspect, 0 },
-    { "two refusals", { LivenessProbeResult::Refused, LivenessProbeResult::Refused }, Liveness::Unreachable, 1 },
+    { "answered", { LivenessProbeResult::Answered }, Liveness::Alive, 0, false },
+    { "one refusal", { LivenessProbeResult::Refused }, Liveness::Suspect, 0, false },
+    { "two refusals", { LivenessProbeResult::Refused, LivenessProbeResult::Refused }, Liveness::Unreachable, 1, false },
+    { "many refusals", std::vector<LivenessProbeResult>(20, LivenessProbeResult::Refused), Liveness::Unreachable, 1,
+        false },
+    { "refusal and loss", { LivenessProbeResult::Refused, LivenessProbeResult::NoAnswer }, Liveness::Unreachable, 1,
+        false },
+    { "loss and refusal", { LivenessProbeResult::NoAnswer, LivenessProbeResult::Refused }, Liveness::Unreachable, 1,
+        false },
+    { "refusal and two losses",
+        { LivenessProbeResult::Refused, LivenessProbeResult::NoAnswer, LivenessProbeResult::NoAnswer },
+        Liveness::Unreachable, 1, true },
     { "refusal at the connection limit", { LivenessProbeResult::Refused, LivenessProbeResult::Answered },
-        Liveness::Alive, 0 },
-    { "one loss", { LivenessProbeResult::NoAnswer, LivenessProbeResult::Answered }, Liveness::Alive, 0 },
-    { "two losses", { LivenessProbeResult::NoAnswer, LivenessProbeResult::NoAnswer }, Liveness::Unreachable, 1 },
-    { "closing", { LivenessProbeResult::Closing }, Liveness::Suspect, 0 },
-    { "not made", { LivenessProbeResult::NotMade }, Liveness::Suspect, 0 },
+        Liveness::Alive, 0, false },
+    { "one loss", { LivenessProbeResult::NoAnswer, LivenessProbeResult::Answered }, Liveness::Alive, 0, false },
+    { "two losses", { LivenessProbeResult::NoAnswer, LivenessProbeResult::NoAnswer }, Liveness::Unreachable, 1, true },
+    { "closing", { LivenessProbeResult::Closing }, Liveness::Suspect, 0, false },
+    { "not made", { LivenessProbeResult::NotMade }, Liveness::Suspect, 0, false },
 };
 
 }
@@ -64,6 +76,8 @@
         liveness.probeEnded(Upstream, result);
     BOOST_CHECK(liveness.livenessOf(Upstream) == testCase.expected);
     BOOST_TEST(lost == testCase.expectedLosses);
+    BOOST_TEST(liveness.haveFlowsEnded(Upstream) == testCase.haveFlowsEnded);
+    BOOST_TEST(flowsEnded == (testCase.haveFlowsEnded ? 1U : 0U));
 }
 
 BOOST_AUTO_TEST_CASE(ProgressPreventsSuspicion)
@@ -119,11 +133,85 @@
     clock.advance(1s);
     liveness.tick();
     BOOST_TEST(probes == 2U);
-    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
-    BOOST_TEST(lost == 1U);
+    auto refusedSince = clock.now();
+    while (lost == 0) {
+        liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+        BOOST_TEST(flowsEnded == lost);
+        clock.advance(50ms);
+        liveness.tick();
+        BOOST_REQUIRE(clock.now() - refusedSince <= 1200ms);
+    }
+    BOOST_TEST((clock.now() - refusedSince >= 1s));
+    auto probesToEnd = probes;
     clock.advance(60s);
     liveness.tick();
-    BOOST_TEST(probes == 2U);
+    BOOST_TEST(probes == probesToEnd);
+    BOOST_TEST(flowsEnded == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ProgressOfAnUnlistedUpstreamOutweighsRefusals)
+{
+    // Guards against resetting flows of an upstream at its connection limit because its entry lapsed for a moment.
+    liveness.noteUnlisted(Upstream);
+    for (auto end = clock.now() + 10s; clock.now() < end; clock.advance(50ms)) {
+        liveness.tick();
+        liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+        if ((clock.now().time_since_epoch() / 50ms) % 18 == 0)
+            liveness.noteProgress(Upstream);
+    }
+    BOOST_TEST(lost == 0U);
+    BOOST_TEST(flowsEnded == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusingUpstreamEndsWithItsEntry)
+{
+    // Guards against flows of a crashed upstream that are kept for good: its VM answers, so that only the lapse of its
+    // entry shows the end.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    clock.advance(2s);
+    BOOST_TEST(flowsEnded == 0U);
+    liveness.noteUnlisted(Upstream);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    BOOST_TEST(flowsEnded == 1U);
+    BOOST_TEST(liveness.haveFlowsEnded(Upstream));
+}
+
+BOOST_AUTO_TEST_CASE(RefusingUpstreamThatFallsSilentEndsItsFlows)
+{
+    // Guards against callers that wait for their timeout because the VM of a crashed process disappeared later.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST(flowsEnded == 0U);
+        clock.advance(2s);
+        liveness.tick();
+        liveness.probeEnded(Upstream, LivenessProbeResult::NoAnswer);
+    }
+    BOOST_TEST(flowsEnded == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowUpstreamNeedsMoreUnansweredProbes)
+{
+    // Guards against resetting flows of a slow upstream whose full accept queue drops probes.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::Answered);
+    clock.advance(1s);
+    suspect();
+    for (int i = 0; i < 3; ++i)
+        liveness.probeEnded(Upstream, LivenessProbeResult::NoAnswer);
+    BOOST_TEST(lost == 0U);
+    liveness.probeEnded(Upstream, LivenessProbeResult::NoAnswer);
+    BOOST_TEST(flowsEnded == 1U);
+    clock.advance(10s);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Answered);
+    clock.advance(6s);
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::NoAnswer);
+    liveness.probeEnded(Upstream, LivenessProbeResult::NoAnswer);
+    BOOST_TEST(flowsEnded == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(ClosingUpstreamIsProbedAgainLater)
@@ -151,8 +239,9 @@
     liveness.noteUnlisted(Upstream);
     liveness.tick();
     BOOST_TEST(probes == 2U);
-    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Ended);
     BOOST_TEST(lost == 1U);
+    BOOST_TEST(flowsEnded == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(RefusedProbeIsRepeatedLater)
@@ -242,6 +331,22 @@
     BOOST_TEST(lost == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ProgressBetweenSuspicionAndVerdictWins)
+{
+    // Guards against resetting flows although one of them made progress while the probes were under way.
+    for (auto result : { LivenessProbeResult::NoAnswer, LivenessProbeResult::Refused }) {
+        suspect();
+        liveness.probeEnded(Upstream, result);
+        clock.advance(10ms);
+        liveness.noteProgress(Upstream);
+        for (int i = 0; i < 6; ++i)
+            liveness.probeEnded(Upstream, result);
+        BOOST_TEST(lost == 0U);
+        BOOST_TEST(flowsEnded == 0U);
+        clock.advance(2s);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(TrafficMarksUpstreamAlive)
 {
     // Guards against resetting flows that get responses.
