LibLoad: Don't count a probe that couldn't be made as an answer

Ruled out: counting such a probe as unanswered, since it says nothing about the upstream.

Change: the count is left alone. A further test shows that the sample of a zone, probed because other upstreams fell silent, doesn't cost idle flows of upstreams that refuse these probes.

TestLibLoad and TestLibBalancer pass.

--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -145,13 +145,13 @@
             m_hooks.stalled(upstream);
         return;
     }
-    state.silentProbes = result == LivenessProbeResult::NoAnswer ? state.silentProbes + 1 : 0;
-    if (result == LivenessProbeResult::Refused)
-        ++state.loss.refusedProbes;
     if (result == LivenessProbeResult::NotMade) {
         state.nextProbeAt = m_clock.now() + m_options.firstRetry;
         return;
     }
+    state.silentProbes = result == LivenessProbeResult::NoAnswer ? state.silentProbes + 1 : 0;
+    if (result == LivenessProbeResult::Refused)
+        ++state.loss.refusedProbes;
     if (state.liveness == Liveness::Unreachable)
         handleFailedRetry(upstream, state, result);
     else if (state.liveness == Liveness::Suspect)
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -413,6 +413,42 @@
     BOOST_TEST(resets.empty());
 }
 
+BOOST_AUTO_TEST_CASE(SampleOfAZoneThatRefusesProbesKeepsItsFlows)
+{
+    // Guards against resetting idle flows of busy upstreams that are probed only because others of their zone fell
+    // silent, as after the replacement of many upstreams at a peak.
+    balancer.setZoneOutOfService(LocalZone, true);
+    for (std::uint64_t id = 10; id < 16; ++id)
+        addUpstream(id, RemoteZone);
+    std::multiset<std::uint64_t> upstreams;
+    for (std::uint16_t port = 1; port <= 14; ++port) {
+        auto upstream = openAndRequest(port);
+        upstreams.insert(upstream);
+        auto answer = packet(PacketKind::Data, port);
+        answer.token = Directory::routingToken(Core::UpstreamId { upstream });
+        answer.sequence = 101;
+        answer.acknowledgement = 500;
+        balancer.decide(answer);
+    }
+    tickFor(1s);
+    std::set<std::uint64_t> const silent { 10, 11 };
+    for (auto id : silent)
+        balancer.handlePeerReport({ Core::UpstreamId { id }, Load::ReportKind::Unanswered, Core::VmId { 9 } });
+    std::set<std::uint64_t> sampled;
+    for (int i = 0; i < 10; ++i) {
+        for (auto id : std::exchange(probed, {})) {
+            if (!silent.contains(id))
+                sampled.insert(id);
+            balancer.handleProbeResult(Core::UpstreamId { id },
+                silent.contains(id) ? Load::LivenessProbeResult::NoAnswer : Load::LivenessProbeResult::Refused);
+        }
+        tickFor(50ms);
+    }
+    BOOST_TEST(sampled.size() >= 4U);
+    BOOST_TEST(balancer.lostZoneCount() == 0U);
+    BOOST_TEST(resets.size() == upstreams.count(10) + upstreams.count(11));
+}
+
 BOOST_AUTO_TEST_CASE(CrashedUpstreamThatRefusesProbesGetsNoNewFlows)
 {
     // Guards against opens that a crashed upstream's VM refuses. The VM resets its flows with their next packet, which
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -60,6 +60,9 @@
         Liveness::Alive, 0, false },
     { "one loss", { LivenessProbeResult::NoAnswer, LivenessProbeResult::Answered }, Liveness::Alive, 0, false },
     { "two losses", { LivenessProbeResult::NoAnswer, LivenessProbeResult::NoAnswer }, Liveness::Unreachable, 1, true },
+    { "two losses and none made between them",
+        { LivenessProbeResult::NoAnswer, LivenessProbeResult::NotMade, LivenessProbeResult::NoAnswer },
+        Liveness::Unreachable, 1, true },
     { "closing", { LivenessProbeResult::Closing }, Liveness::Suspect, 0, false },
     { "not made", { LivenessProbeResult::NotMade }, Liveness::Suspect, 0, false },
 };
