LibLoad: Report a return by how long probes were refused, not by their number

Cause: an upstream that was suspected in vain before needs four probes, so that three refusals, the limit for a report to other balancers, came within 100 ms. Upstreams at their connection limit would have been reported as restarted at a peak. Found by reading the change again.

Change: a loss tells how long its probes were refused; a return is reported after 500 ms.

Result: LossTellsHowLongProbesWereRefused and the case "refused connections for a moment" (four refusals in 150 ms) are new.

--- a/Libraries/LibLoad/ReturningUpstreams.cpp
+++ b/Libraries/LibLoad/ReturningUpstreams.cpp
@@ -8,8 +8,8 @@
 
 // Records of processes that were seen at work longer ago only cost memory.
 static constexpr std::chrono::seconds RunRetention { 60 };
-// How long a return is remembered for the entry that shows it. Longer than outages of discovery that were seen; without
-// it, the flows that the entry finds are reset.
+// How long a return is remembered for the entry that shows it, which may come as late as discovery returns after an
+// outage. Without it, the flows that the entry finds are reset.
 static constexpr std::chrono::seconds ReturnRetention { 120 };
 
 ReturningUpstreams::ReturningUpstreams(
@@ -34,7 +34,7 @@
     if (wasCutOff || hasSameProcess)
         return false;
     m_returns.insert_or_assign(upstream, Return { m_clock.now(), loss.lostAt });
-    return loss.refusedProbes >= m_options.refusalsToReport;
+    return loss.refusedFor >= m_options.refusalTimeToReport;
 }
 
 bool ReturningUpstreams::noteReported(Core::UpstreamId upstream)
--- a/Libraries/LibLoad/ReturningUpstreams.h
+++ b/Libraries/LibLoad/ReturningUpstreams.h
@@ -18,16 +18,16 @@
     /// A longer time between two moments at which the directory was complete is an outage of discovery, in which an
     /// upstream couldn't renew its entry. Watches confirm the directory every 1,000 ms, and peers relay that.
     std::chrono::milliseconds maximumViewGap { 1500 };
-    /// Number of refused probes in one loss after which other balancers are told of the return. The third one comes
-    /// 550 ms after the first; an upstream that is at its connection limit for a moment accepts connections by then.
-    unsigned refusalsToReport { 3 };
+    /// How long an upstream must have refused probes for its return to be reported to other balancers. One that is at
+    /// its connection limit for a moment accepts connections by then.
+    std::chrono::milliseconds refusalTimeToReport { 500 };
     /// Share of a service's upstreams that reports of other balancers alone can make possibly cold, but always one. It
     /// bounds the effect of a balancer with wrong reports.
     double maximumReportedShare { 0.25 };
     /// A report of an upstream is ignored for this long after an earlier one had an effect, for the same reason.
     std::chrono::milliseconds reportInterval { 10'000 };
     /// A report of an upstream is ignored if this balancer saw its process at work within this time. A loss that is
-    /// reported lasted for at least 550 ms.
+    /// reported lasted for at least as long.
     std::chrono::milliseconds recentProgressWindow { 500 };
 };
 
--- a/Libraries/LibLoad/UpstreamLiveness.cpp
+++ b/Libraries/LibLoad/UpstreamLiveness.cpp
@@ -150,8 +150,11 @@
         return;
     }
     state.silentProbes = result == LivenessProbeResult::NoAnswer ? state.silentProbes + 1 : 0;
-    if (result == LivenessProbeResult::Refused)
-        ++state.loss.refusedProbes;
+    if (result == LivenessProbeResult::Refused) {
+        if (state.loss.refusedProbes++ == 0)
+            state.firstRefusalAt = m_clock.now();
+        state.loss.refusedFor = m_clock.now() - state.firstRefusalAt;
+    }
     if (state.liveness == Liveness::Unreachable)
         handleFailedRetry(upstream, state, result);
     else if (state.liveness == Liveness::Suspect)
--- a/Libraries/LibLoad/UpstreamLiveness.h
+++ b/Libraries/LibLoad/UpstreamLiveness.h
@@ -61,6 +61,8 @@
     Core::TimePoint lostAt;
     /// Probes that were refused since the upstream became suspect.
     unsigned refusedProbes { 0 };
+    /// Time from the first to the last of them.
+    Core::TimePoint::duration refusedFor { 0 };
 };
 
 struct LivenessOptions {
@@ -158,6 +160,7 @@
         /// When a suspicion last proved wrong.
         std::optional<Core::TimePoint> slowAt {};
         UpstreamLoss loss {};
+        Core::TimePoint firstRefusalAt;
         /// When the upstream is probed next, or may be suspected again if it is alive.
         Core::TimePoint nextProbeAt;
         std::chrono::milliseconds retryDelay { 0 };
--- a/Tests/LibLoad/TestReturningUpstreams.cpp
+++ b/Tests/LibLoad/TestReturningUpstreams.cpp
@@ -31,9 +31,9 @@
                 },
             .formerFlowsSilent = [this](auto, auto) { ++formerFlowsSilent; } } };
 
-    bool loseAndReturn(unsigned refusedProbes)
+    bool loseAndReturn(unsigned refusedProbes, std::chrono::milliseconds refusedFor = 500ms)
     {
-        Load::UpstreamLoss loss { clock.now(), refusedProbes };
+        Load::UpstreamLoss loss { clock.now(), refusedProbes, refusedFor };
         clock.advance(1s);
         return returning.noteReturned(Upstream, loss);
     }
@@ -52,6 +52,7 @@
 struct ReturnCase {
     char const* name;
     unsigned refusedProbes;
+    std::chrono::milliseconds refusedFor;
     bool wasCutOff;
     bool isPossiblyCold;
     bool isReported;
@@ -60,11 +61,11 @@
 std::ostream& operator<<(std::ostream& stream, ReturnCase const& testCase) { return stream << testCase.name; }
 
 ReturnCase const ReturnCases[] {
-    { "refused connections for longer", 3, false, true, true },
-    { "refused connections for a moment", 2, false, true, false },
-    { "silent", 0, false, true, false },
-    { "zone cut off", 0, true, false, false },
-    { "refused connections in a zone that was cut off", 3, true, true, true },
+    { "refused connections for longer", 3, 500ms, false, true, true },
+    { "refused connections for a moment", 4, 150ms, false, true, false },
+    { "silent", 0, 0ms, false, true, false },
+    { "zone cut off", 0, 0ms, true, false, false },
+    { "refused connections in a zone that was cut off", 3, 500ms, true, true, true },
 };
 
 struct EndCase {
@@ -92,7 +93,7 @@
     // Guards against full load on a restarted upstream, against avoiding a whole zone after its link was cut, and
     // against reports of upstreams that were only at their connection limit.
     wasCutOff = testCase.wasCutOff;
-    BOOST_TEST(loseAndReturn(testCase.refusedProbes) == testCase.isReported);
+    BOOST_TEST(loseAndReturn(testCase.refusedProbes, testCase.refusedFor) == testCase.isReported);
     BOOST_TEST(returning.isPossiblyCold(Upstream) == testCase.isPossiblyCold);
 }
 
@@ -142,7 +143,7 @@
 {
     // Guards against reporting an upstream that served flows all the time.
     auto openedAt = clock.now();
-    Load::UpstreamLoss loss { clock.now() + 100ms, 3 };
+    Load::UpstreamLoss loss { clock.now() + 100ms, 3, 500ms };
     clock.advance(500ms);
     returning.noteProgress(Upstream, openedAt);
     BOOST_TEST(!returning.noteReturned(Upstream, loss));
--- a/Tests/LibLoad/TestUpstreamLiveness.cpp
+++ b/Tests/LibLoad/TestUpstreamLiveness.cpp
@@ -166,6 +166,30 @@
     BOOST_TEST(flowsEnded == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(LossTellsHowLongProbesWereRefused)
+{
+    // Guards against reporting an upstream that was at its connection limit for a moment as restarted, and against the
+    // refusals of an earlier suspicion.
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    clock.advance(10s);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Answered);
+    clock.advance(10s);
+    suspect();
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    clock.advance(50ms);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    auto lostAt = clock.now();
+    clock.advance(500ms);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Refused);
+    clock.advance(1s);
+    liveness.probeEnded(Upstream, LivenessProbeResult::Answered);
+    auto loss = liveness.lossOf(Upstream);
+    BOOST_CHECK(loss.lostAt == lostAt);
+    BOOST_TEST(loss.refusedProbes == 3U);
+    BOOST_CHECK(loss.refusedFor == 550ms);
+}
+
 BOOST_AUTO_TEST_CASE(RefusingUpstreamEndsWithItsEntry)
 {
     // Guards against flows of a crashed upstream that are kept for good: its VM answers, so that only the lapse of its
