--- a/Tests/LibLoad/TestReturningUpstreams.cpp
+++ b/Tests/LibLoad/TestReturningUpstreams.cpp
@@ -18,6 +18,7 @@
     Core::ManualClock clock;
     std::optional<std::chrono::milliseconds> slowStart { SlowStart };
     bool wasCutOff { false };
+    unsigned formerFlowsSilent { 0 };
     Load::ReturningUpstreams returning { clock, { .heartbeat = Heartbeat },
         { .slowStartOf = [this](auto) { return slowStart; },
             .wasCutOff = [this](auto, auto) { return wasCutOff; },
@@ -27,11 +28,12 @@
                     for (std::uint64_t id = 1; id <= UpstreamsOfService; ++id)
                         upstreams.emplace_back(id);
                     return upstreams;
-                } } };
+                },
+            .formerFlowsSilent = [this](auto, auto) { ++formerFlowsSilent; } } };
 
-    bool loseAndReturn(unsigned refusedProbes)
+    bool loseAndReturn(unsigned refusedProbes, std::chrono::milliseconds refusedFor = 500ms)
     {
-        Load::UpstreamLoss loss { clock.now(), refusedProbes };
+        Load::UpstreamLoss loss { clock.now(), refusedProbes, refusedFor };
         clock.advance(1s);
         return returning.noteReturned(Upstream, loss);
     }
@@ -50,6 +52,7 @@
 struct ReturnCase {
     char const* name;
     unsigned refusedProbes;
+    std::chrono::milliseconds refusedFor;
     bool wasCutOff;
     bool isPossiblyCold;
     bool isReported;
@@ -58,11 +61,11 @@
 std::ostream& operator<<(std::ostream& stream, ReturnCase const& testCase) { return stream << testCase.name; }
 
 ReturnCase const ReturnCases[] {
-    { "refused connections for longer", 3, false, true, true },
-    { "refused connections for a moment", 2, false, true, false },
-    { "silent", 0, false, true, false },
-    { "zone cut off", 0, true, false, false },
-    { "refused connections in a zone that was cut off", 3, true, true, true },
+    { "refused connections for longer", 3, 500ms, false, true, true },
+    { "refused connections for a moment", 4, 150ms, false, true, false },
+    { "silent", 0, 0ms, false, true, false },
+    { "zone cut off", 0, 0ms, true, false, false },
+    { "refused connections in a zone that was cut off", 3, 500ms, true, true, true },
 };
 
 struct EndCase {
@@ -90,7 +93,7 @@
     // Guards against full load on a restarted upstream, against avoiding a whole zone after its link was cut, and
     // against reports of upstreams that were only at their connection limit.
     wasCutOff = testCase.wasCutOff;
-    BOOST_TEST(loseAndReturn(testCase.refusedProbes) == testCase.isReported);
+    BOOST_TEST(loseAndReturn(testCase.refusedProbes, testCase.refusedFor) == testCase.isReported);
     BOOST_TEST(returning.isPossiblyCold(Upstream) == testCase.isPossiblyCold);
 }
 
@@ -140,7 +143,7 @@
 {
     // Guards against reporting an upstream that served flows all the time.
     auto openedAt = clock.now();
-    Load::UpstreamLoss loss { clock.now() + 100ms, 3 };
+    Load::UpstreamLoss loss { clock.now() + 100ms, 3, 500ms };
     clock.advance(500ms);
     returning.noteProgress(Upstream, openedAt);
     BOOST_TEST(!returning.noteReturned(Upstream, loss));
@@ -197,6 +200,26 @@
     BOOST_TEST(!returning.newProcessSince(Upstream).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FormerFlowsAreReportedOnceIfNoneMakesProgress)
+{
+    // Guards against flows of an ended process that count as load of the new one, and against forgetting the flows of a
+    // process that never ended.
+    auto openedAt = clock.now();
+    loseAndReturn(3);
+    clock.advance(SlowStart - 50ms);
+    returning.tick();
+    BOOST_TEST(formerFlowsSilent == 0U);
+    clock.advance(50ms);
+    returning.tick();
+    returning.tick();
+    BOOST_TEST(formerFlowsSilent == 1U);
+    loseAndReturn(3);
+    returning.noteProgress(Upstream, openedAt);
+    clock.advance(SlowStart);
+    returning.tick();
+    BOOST_TEST(formerFlowsSilent == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(EntryOfTheNewProcessEndsIt)
 {
     // Guards against holding back an upstream whose entry tells when its slow start ends.
