LibLoad, LibBalancer: Add admission control for services in contention

Cause: at twice the capacity, callers retry what upstreams reject, and the urgent kind is served no better than others. Change: a capacity estimate per service from the share of rejected requests, token buckets per priority, equal shares per caller address, and a memory of refused opens; asked before an upstream is chosen for a new flow. Ruled out: a limit set to the completion rate, whose noise at 50 requests per second is 14% per second.

--- a/Libraries/LibBalancer/FlowLog.cpp
+++ b/Libraries/LibBalancer/FlowLog.cpp
@@ -55,6 +55,12 @@
     auto event = eventName(packet, decision.verdict);
     if (!m_limiter.admit(event))
         return;
+    if (!decision.detail.empty()) {
+        logEvent(Level::Info, event,
+            { { "flow", formatFlow(packet.flow) }, { "reason", toString(decision.reason) },
+                { "detail", decision.detail }, { "version", view.version } });
+        return;
+    }
     logEvent(Level::Info, event,
         { { "flow", formatFlow(packet.flow) }, { "request", formatRequestId(packet.requestId) },
             { "upstream", upstreamName(decision.upstream) }, { "reason", toString(decision.reason) },
--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -40,6 +40,8 @@
     , m_lastTick(clock.now())
     , m_lastSweep(clock.now())
 {
+    if (m_options.admission)
+        m_admission.emplace(clock, *m_options.admission, m_directory, metrics);
 }
 
 Directory::DirectoryHooks TokenBalancer::directoryHooks()
@@ -118,7 +120,12 @@
     return {
         .opened = [this](Core::UpstreamId id) { m_load.flowOpened(id); },
         .closed = [this](Core::UpstreamId id) { m_load.flowClosed(id); },
-        .requestStarted = [this](Core::UpstreamId id) { m_load.requestStarted(id); },
+        .requestStarted =
+            [this](auto const& key, auto const& flow) {
+                m_load.requestStarted(flow.upstream);
+                if (m_admission)
+                    m_admission->noteRequest(key, flow);
+            },
         .responseStarted
         = [this](auto const& key, auto const& flow, auto const& answer) { handleAnswer(key, flow, answer); },
         .requestDropped = [this](Core::UpstreamId id) { m_load.requestEnded(id); },
@@ -128,6 +135,10 @@
 Placement::TokenPlacerHooks TokenBalancer::placerHooks()
 {
     return {
+        .refusalOf =
+            [this](Core::ServiceId service, Placement::TokenPacket const& packet) {
+                return m_admission ? m_admission->refusalOf(service, packet) : std::string_view {};
+            },
         .choose
         = [this](Core::ServiceId service, Core::UpstreamId excluded) { return m_choice.choose(service, excluded); },
         .acceptsSoon
@@ -159,7 +170,10 @@
     if (answer.duration > m_options.lateAnswerLimit)
         m_log.logLateAnswer(key, flow.requestId, nameOf(flow.upstream),
             std::chrono::duration_cast<std::chrono::milliseconds>(answer.duration));
-    if (!m_answerSizes.noteResponse(key.destination, answer.bytes))
+    auto size = m_answerSizes.classify(key.destination, answer.bytes);
+    if (m_admission)
+        m_admission->noteResponse(key, flow, answer, size);
+    if (size != Load::ResponseSize::RarelyShort)
         return;
     m_log.logShortAnswer(key, flow.requestId, nameOf(flow.upstream), answer.bytes);
     recordFailure(flow.upstream, "short_answer");
@@ -202,10 +216,12 @@
     auto previousVersion = m_directory.version();
     auto version = table.version;
     auto routes = table.routes.size();
-    if (m_directory.applyRoutes(std::move(table)))
+    if (m_directory.applyRoutes(std::move(table))) {
         logEvent(Level::Info, "routes_applied",
             { { "version", version }, { "former", previousVersion }, { "routes", routes } });
-    else
+        if (m_admission)
+            m_admission->applyRoutes(m_directory.routes());
+    } else
         logEvent(Level::Warn, "routes_ignored", { { "version", version }, { "in_force", previousVersion } });
 }
 
@@ -364,6 +380,8 @@
         m_flows.restartRequestTimers();
     suspectSilentUpstreams();
     m_liveness.tick();
+    if (m_admission)
+        m_admission->tick();
     m_log.logSuppressedLines();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBalancer/AdmissionFilter.h>
 #include <LibBalancer/FlowLog.h>
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
@@ -31,6 +32,8 @@
     std::size_t maximumFlows { 100'000 };
     Directory::DirectoryOptions directory;
     Load::LivenessOptions liveness;
+    /// Unset: every open is admitted while there is an upstream.
+    std::optional<Load::AdmissionOptions> admission { std::in_place };
     /// An open that the caller hasn't confirmed within this time makes its upstream suspect. Callers acknowledge the
     /// answer of a responsive upstream after one round trip.
     std::chrono::milliseconds openConfirmationTimeout { 40 };
@@ -138,6 +141,8 @@
     Load::ShortResponseDetector m_answerSizes { {} };
     Load::RequestFailureDetector m_failures;
     Load::LeastLoadedSelector m_choice;
+    /// Unset if admission control is turned off.
+    std::optional<AdmissionFilter> m_admission;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
     std::mt19937_64 m_random;
--- a/Libraries/LibDirectory/UpstreamDirectory.h
+++ b/Libraries/LibDirectory/UpstreamDirectory.h
@@ -84,6 +84,7 @@
     void sweep();
 
     std::uint64_t version() const { return m_routes.version; }
+    RouteTable const& routes() const { return m_routes; }
     std::chrono::milliseconds idleTimeout() const { return m_routes.idleTimeout; }
     Route const* findRoute(Core::Endpoint const&) const;
     ServiceLimits limitsOf(Core::ServiceId) const;
--- /dev/null
+++ b/Libraries/LibLoad/CapacityEstimator.cpp
@@ -0,0 +1,157 @@
+#include <LibLoad/CapacityEstimator.h>
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace Chicorytally::Load {
+
+// An interval this many times as long as usual means that the process was paused: its counts mix different loads.
+static constexpr int PauseIntervals = 3;
+// Lowest limit in requests per second; a limit of 0 could not grow.
+static constexpr double MinimumLimit = 1;
+// Deviations of a count up to this many standard deviations are taken for chance.
+static constexpr double ChanceDeviations = 2;
+
+CapacityEstimator::Counts& CapacityEstimator::Counts::operator+=(Counts const& other)
+{
+    duration += other.duration;
+    started += other.started;
+    completed += other.completed;
+    rejected += other.rejected;
+    late += other.late;
+    refusals += other.refusals;
+    offered += other.offered;
+    rejectors |= other.rejectors;
+    return *this;
+}
+
+double CapacityEstimator::Counts::rejectedShare() const
+{
+    return responses() == 0 ? 0 : static_cast<double>(rejected) / responses();
+}
+
+double CapacityEstimator::Counts::lateShare() const
+{
+    return completed == 0 ? 0 : static_cast<double>(late) / completed;
+}
+
+CapacityEstimator::CapacityEstimator(Core::Clock const& clock, CapacityEstimatorOptions options)
+    : m_clock(clock)
+    , m_options(options)
+    , m_intervalStart(clock.now())
+    , m_lastScarcity(clock.now())
+{
+}
+
+void CapacityEstimator::noteCompletion(bool isLate)
+{
+    ++m_current.completed;
+    if (isLate)
+        ++m_current.late;
+}
+
+void CapacityEstimator::noteRejection(Core::UpstreamId upstream)
+{
+    ++m_current.rejected;
+    m_current.rejectors |= std::uint64_t { 1 } << (Core::hashPair(upstream.value(), 0) % 64);
+}
+
+void CapacityEstimator::tick(std::size_t upstreamCount)
+{
+    auto elapsed = m_clock.now() - m_intervalStart;
+    if (elapsed < m_options.interval)
+        return;
+    m_intervalStart = m_clock.now();
+    m_current.duration = elapsed;
+    m_lastInterval = std::exchange(m_current, {});
+    if (elapsed > PauseIntervals * m_options.interval) {
+        m_measurement = {};
+        m_isCertain = false;
+        return;
+    }
+    m_measurement += m_lastInterval;
+    if (m_lastInterval.refusals != 0)
+        m_lastScarcity = m_clock.now();
+    if (!isMeasured())
+        return;
+    m_isCertain = m_measurement.responses() >= m_options.minimumResponses;
+    m_offeredRate = m_measurement.offered / m_measurement.duration.count();
+    if (m_limit)
+        adjust();
+    else if (isCongested(upstreamCount))
+        startContention();
+    m_measurement = {};
+    if (m_limit)
+        endContentionWhenIdle();
+}
+
+bool CapacityEstimator::isMeasured() const
+{
+    if (m_measurement.duration < m_options.minimumMeasurement)
+        return false;
+    return m_measurement.responses() >= m_options.minimumResponses
+        || m_measurement.duration >= m_options.maximumMeasurement;
+}
+
+bool CapacityEstimator::isCongested(std::size_t upstreamCount) const
+{
+    if (!m_isCertain)
+        return false;
+    if (m_measurement.lateShare() > m_options.contentionLateShare)
+        return true;
+    auto required = std::min(m_options.minimumRejectingUpstreams, upstreamCount);
+    return m_measurement.rejected >= m_options.minimumRejections
+        && m_measurement.rejectedShare() > m_options.contentionShare
+        && static_cast<std::size_t>(std::popcount(m_measurement.rejectors)) >= required;
+}
+
+void CapacityEstimator::startContention()
+{
+    // The measurement may have started before the load rose, so its last interval counts if that shows more.
+    auto acceptedRate = [](Counts const& counts) {
+        return std::max(counts.started * (1 - counts.rejectedShare()), static_cast<double>(counts.completed))
+            / counts.duration.count();
+    };
+    auto rate = acceptedRate(m_measurement);
+    if (m_lastInterval.responses() >= m_options.minimumResponses)
+        rate = std::max(rate, acceptedRate(m_lastInterval));
+    m_limit = std::max(MinimumLimit, rate);
+    m_lastScarcity = m_clock.now();
+}
+
+void CapacityEstimator::adjust()
+{
+    if (!m_isCertain) {
+        if (m_measurement.responses() == 0)
+            m_limit.reset();
+        else
+            *m_limit *= m_options.uncertainGrowth;
+        return;
+    }
+    auto seconds = m_measurement.duration.count();
+    auto excess = m_measurement.rejectedShare() - m_options.targetRejectedShare;
+    bool isLate = m_measurement.lateShare() > m_options.contentionLateShare;
+    if (excess < 0 && !isLate)
+        *m_limit *= 1 - m_options.growthPerSecond * seconds * excess / m_options.targetRejectedShare;
+    else
+        *m_limit *= 1 - std::max(excess, 0.0);
+    if (excess < 0)
+        return;
+    // An unused limit must not stay far above the requests; nor may it fall below what the upstreams complete.
+    auto bound = [seconds](double count, double sign) {
+        return (count + sign * ChanceDeviations * std::sqrt(count)) / seconds;
+    };
+    m_limit = std::min(*m_limit, bound(m_measurement.started, 1));
+    m_limit = std::max({ *m_limit, bound(m_measurement.completed, -1), MinimumLimit });
+}
+
+void CapacityEstimator::endContentionWhenIdle()
+{
+    if (m_offeredRate > *m_limit)
+        m_lastScarcity = m_clock.now();
+    if (m_clock.now() - m_lastScarcity >= m_options.contentionEnd)
+        m_limit.reset();
+}
+
+}
--- a/Libraries/LibLoad/Load.h
+++ b/Libraries/LibLoad/Load.h
@@ -3,6 +3,7 @@
 /// LibLoad decides how many flows each upstream gets: fleet-wide limits, slow start, health, upstream selection,
 /// drains, retries and overload protection. Uses no sockets, files or system clock.
 
+#include <LibLoad/AdmissionController.h>
 #include <LibLoad/LeastLoadedSelector.h>
 #include <LibLoad/LoadController.h>
 #include <LibLoad/LoadTypes.h>
--- a/Libraries/LibLoad/ShortResponseDetector.cpp
+++ b/Libraries/LibLoad/ShortResponseDetector.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-bool ShortResponseDetector::noteResponse(Core::Endpoint const& route, std::uint32_t bytes)
+ResponseSize ShortResponseDetector::classify(Core::Endpoint const& route, std::uint32_t bytes)
 {
     auto& statistics = m_routes[route];
     auto size = static_cast<double>(std::min(bytes, m_options.maximumBytes));
@@ -22,7 +22,9 @@
     // Short responses are left out of the mean; otherwise a series of errors would lower it until they look normal.
     if (!isShort)
         statistics.meanBytes += weight * (size - statistics.meanBytes);
-    return isShort && statistics.shortRate <= m_options.maximumShortRate;
+    if (!isShort)
+        return ResponseSize::Usual;
+    return statistics.shortRate <= m_options.maximumShortRate ? ResponseSize::RarelyShort : ResponseSize::OftenShort;
 }
 
 }
--- a/Libraries/LibLoad/ShortResponseDetector.h
+++ b/Libraries/LibLoad/ShortResponseDetector.h
@@ -24,14 +24,27 @@
     double rateWeight { 0.01 };
 };
 
+enum class ResponseSize : std::uint8_t {
+    Usual,
+    /// Short, and few of the route's responses are: probably an error.
+    RarelyShort,
+    /// Short, as many of the route's responses are: rejections in an overload, or a route with varied sizes.
+    OftenShort,
+};
+
 /// Detects responses that are probably errors by their size. With direct server return, a balancer sees only the
 /// callers' packets and no response status, but a caller acknowledges as many bytes as it received. Not thread-safe.
 class ShortResponseDetector {
 public:
     explicit ShortResponseDetector(ShortResponseDetectorOptions);
 
-    /// Records a response of the route with this address. Returns whether it is short.
-    bool noteResponse(Core::Endpoint const& route, std::uint32_t bytes);
+    /// Records a response of the route with this address and compares it with the earlier ones.
+    ResponseSize classify(Core::Endpoint const& route, std::uint32_t bytes);
+    /// Records a response of the route with this address. Returns whether it is short, and few are.
+    bool noteResponse(Core::Endpoint const& route, std::uint32_t bytes)
+    {
+        return classify(route, bytes) == ResponseSize::RarelyShort;
+    }
 
 private:
     struct RouteStatistics {
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -60,6 +60,7 @@
         moveTo(*flow, upstream);
     auto now = m_clock.now();
     flow->openedAt = now;
+    flow->isOpenSeen = true;
     flow->lastPacketAt = now;
     m_openChecks.push_back({ key, now });
     m_lastOpens.insert_or_assign(key.source.address, key);
@@ -130,7 +131,7 @@
     flow.requestStartedAt = now;
     flow.requestId = packet.requestId;
     m_requestChecks.push_back({ packet.flow, now });
-    m_hooks.requestStarted(flow.upstream);
+    m_hooks.requestStarted(packet.flow, flow);
 }
 
 void TokenFlowTable::close(Core::FlowKey const& key)
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -28,6 +28,8 @@
     std::uint32_t acknowledgement { 0 };
     /// Sequence number after the last byte that the caller sent.
     std::uint32_t nextSequenceNumber { 0 };
+    /// The opening packet was forwarded by this balancer, at openedAt.
+    bool isOpenSeen { false };
     /// The caller has sent a packet other than an opening one.
     bool isEstablished { false };
     /// The caller has closed or reset the flow. It no longer counts as open, but its last packets may still arrive.
@@ -45,7 +47,7 @@
 struct TokenFlowHooks {
     std::function<void(Core::UpstreamId)> opened;
     std::function<void(Core::UpstreamId)> closed;
-    std::function<void(Core::UpstreamId)> requestStarted;
+    std::function<void(Core::FlowKey const&, TokenFlow const&)> requestStarted;
     /// The caller acknowledged the first bytes of the response.
     std::function<void(Core::FlowKey const&, TokenFlow const&, TokenResponse const&)> responseStarted;
     /// The flow ended while the request was in flight.
--- a/Libraries/LibPlacement/TokenPlacer.cpp
+++ b/Libraries/LibPlacement/TokenPlacer.cpp
@@ -50,6 +50,10 @@
         excluded = flow->upstream;
     }
     auto service = route.serviceFor(packet.flow.hash(0).low);
+    if (!previous && m_hooks.refusalOf) {
+        if (auto refusal = m_hooks.refusalOf(service, packet); !refusal.empty())
+            return { .verdict = Verdict::Refuse, .reason = Reason::Overloaded, .detail = refusal };
+    }
     auto const* chosen = m_hooks.choose(service, excluded);
     if (!chosen)
         return decideWithoutUpstream(service);
--- a/Libraries/LibPlacement/TokenPlacer.h
+++ b/Libraries/LibPlacement/TokenPlacer.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace Chicorytally::Placement {
 
@@ -22,6 +23,8 @@
     Directory::RoutingToken token { 0 };
     /// The first packet that this balancer sees of a flow opened through another balancer.
     bool isFirstPacketSeen { false };
+    /// What in particular made the open be refused; empty if the reason says it all.
+    std::string_view detail;
 };
 
 struct TokenPlacerOptions {
@@ -40,6 +43,8 @@
 };
 
 struct TokenPlacerHooks {
+    /// Decides whether a service in contention takes the open. Returns why not; empty if it does. Optional.
+    std::function<std::string_view(Core::ServiceId, TokenPacket const&)> refusalOf;
     /// Chooses the upstream of a new flow. The excluded one has not responded to an earlier open of the caller.
     std::function<Directory::UpstreamRecord const*(Core::ServiceId, Core::UpstreamId excluded)> choose;
     /// Whether an upstream of the service is expected to accept new flows within the time.
--- a/Tests/LibPlacement/TestTokenPlacer.cpp
+++ b/Tests/LibPlacement/TestTokenPlacer.cpp
@@ -48,7 +48,7 @@
     Placement::TokenFlowTable flows { clock, 1000,
         { .opened = [this](auto id) { ++openFlows[id.value()]; },
             .closed = [this](auto id) { --openFlows[id.value()]; },
-            .requestStarted = [this](auto id) { ++requests[id.value()]; },
+            .requestStarted = [this](auto const&, auto const& flow) { ++requests[flow.upstream.value()]; },
             .responseStarted = [this](auto const&, auto const& flow, auto) { --requests[flow.upstream.value()]; },
             .requestDropped = [this](auto id) { --requests[id.value()]; } } };
     Placement::TokenPlacer placer { clock, {}, directory, flows,
@@ -335,7 +335,7 @@
     AutoAdvancingClock clock;
     auto ignore = [](auto) {};
     Placement::TokenFlowTable flows { clock, 10,
-        { ignore, ignore, ignore, [](auto const&, auto const&, auto) {}, ignore } };
+        { ignore, ignore, [](auto const&, auto const&) {}, [](auto const&, auto const&, auto) {}, ignore } };
     Core::FlowKey key { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
     Core::UpstreamId upstream { 1 };
     flows.recordOpen(key, upstream);
@@ -354,7 +354,7 @@
     Core::ManualClock clock;
     auto ignore = [](auto) {};
     Placement::TokenFlowTable flows { clock, 10,
-        { ignore, ignore, ignore, [](auto const&, auto const&, auto) {}, ignore } };
+        { ignore, ignore, [](auto const&, auto const&) {}, [](auto const&, auto const&, auto) {}, ignore } };
     Core::FlowKey key { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
     flows.recordPacket(request(key), Core::UpstreamId { 1 });
     clock.advance(4s);
@@ -370,7 +370,7 @@
     Core::ManualClock clock;
     auto ignore = [](auto) {};
     Placement::TokenFlowTable flows { clock, 1,
-        { ignore, ignore, ignore, [](auto const&, auto const&, auto) {}, ignore } };
+        { ignore, ignore, [](auto const&, auto const&) {}, [](auto const&, auto const&, auto) {}, ignore } };
     Core::FlowKey first { { *Core::IpAddress::parse("100.64.0.7"), 4000 }, Address };
     Core::FlowKey second { { *Core::IpAddress::parse("100.64.0.7"), 4001 }, Address };
     flows.recordOpen(first, Core::UpstreamId { 1 });
--- a/Utilities/chicorytally/FlowTrace.cpp
+++ b/Utilities/chicorytally/FlowTrace.cpp
@@ -99,8 +99,9 @@
 
 static bool isContextLine(LogLine const& line, FlowContext const& context)
 {
-    static constexpr std::array<std::string_view, 10> NodeEvents { "started", "stopped", "shutdown_started", "paused",
-        "source_lost", "source_regained", "not_ready", "ready", "zone_lost", "zone_out" };
+    static constexpr std::array<std::string_view, 12> NodeEvents { "started", "stopped", "shutdown_started", "paused",
+        "source_lost", "source_regained", "not_ready", "ready", "zone_lost", "zone_out", "contention_started",
+        "contention_ended" };
     bool isInWindow = line.time >= context.firstTime - ContextWindow && line.time <= context.lastTime;
     if (!isInWindow || !context.nodes.contains(line.node) || !line.field("flow").empty())
         return false;
@@ -123,6 +124,18 @@
     return text == Texts.end() ? cause : text->second;
 }
 
+static std::string describeOverload(std::string const& detail)
+{
+    static std::map<std::string, std::string, std::less<>> const Texts {
+        { "no_capacity", "more urgent requests and open flows took all of it" },
+        { "caller_share", "the caller's address had used up its share" },
+        { "retry_share", "retries of refused callers had used up their share" },
+        { "copy", "it is a copy of a packet that was refused" },
+    };
+    auto text = Texts.find(detail);
+    return absl::StrCat("the service had too little capacity, and ", text == Texts.end() ? detail : text->second);
+}
+
 static std::string describeReason(LogLine const& line)
 {
     auto reason = line.field("reason");
@@ -136,6 +149,8 @@
         return "no upstream of the service accepts new flows";
     if (reason == "not_synchronised")
         return "the balancer had no routes yet";
+    if (reason == "overloaded")
+        return describeOverload(line.field("detail"));
     return reason;
 }
 
