LibLoad: Detect late rejections and overloads of 50 ms

Cause: a rejection that takes as long as a response, such as one from another zone, did not count; and the estimate fell below the completion rate when requests on open flows alone exceed the capacity. Change: on routes whose good responses are hardly ever short, any short response is a rejection; the limit stays above the completion rate of the last 500 ms; contention starts after the first interval that shows it. Ruled out: a target of 3% rejections, at which 15% of the slots stay idle because flows are spread unevenly.

--- a/Libraries/LibLoad/AdmissionController.cpp
+++ b/Libraries/LibLoad/AdmissionController.cpp
@@ -8,9 +8,11 @@
 
 // Interval at which capacity is divided among callers; that of the estimate.
 static constexpr std::chrono::milliseconds DivisionInterval { 100 };
+// Longer than the detection of an overload takes.
+static constexpr std::chrono::seconds LearningInterval { 1 };
 // A caller whose open was refused retries at once; later opens of its address are of other users.
 static constexpr std::chrono::milliseconds RetryTime { 250 };
-// A short response counts as a rejection if it took less than this part of a fast response's time.
+// A short response on a route with many of them is a rejection if it took less than this part of a fast one's time.
 static constexpr double RejectionTimePart = 0.9;
 // Responses over the goal show congestion only if fast ones take less than this part of the goal.
 static constexpr double UnloadedGoalPart = 0.5;
@@ -64,6 +66,7 @@
     , m_callers(clock, options.maximumCallers)
     , m_refusedOpens(clock, options.maximumRefusedOpens)
     , m_lastDivision(clock.now())
+    , m_lastLearning(clock.now())
 {
 }
 
@@ -247,7 +250,9 @@
     auto& estimator = target->service->estimator;
     auto fastTime = route->profile.fastTime(response.zone);
     auto duration = static_cast<double>(response.duration.count());
-    if (response.isShort && fastTime && duration < RejectionTimePart * static_cast<double>(fastTime->count())) {
+    bool isFast = fastTime && duration < RejectionTimePart * static_cast<double>(fastTime->count());
+    route->profile.noteSize(response.isShort);
+    if (response.isShort && (isFast || route->profile.isShortUnusual())) {
         estimator.noteRejection(response.upstream);
         return;
     }
@@ -264,6 +269,7 @@
     bool isDivisionDue = elapsed >= DivisionInterval;
     if (isDivisionDue)
         m_lastDivision = m_clock.now();
+    learnSizes();
     for (auto& [id, service] : m_services) {
         service->estimator.tick(m_hooks.upstreamCount(id));
         updateContention(*service);
@@ -275,6 +281,17 @@
     }
 }
 
+void AdmissionController::learnSizes()
+{
+    if (m_clock.now() - m_lastLearning < LearningInterval)
+        return;
+    m_lastLearning = m_clock.now();
+    for (auto& [address, route] : m_routes) {
+        auto isContended = [](Target const& target) { return target.service->isContended; };
+        route->profile.learnSizes(std::ranges::any_of(route->targets, isContended));
+    }
+}
+
 void AdmissionController::updateContention(Service& service)
 {
     bool isContended = service.estimator.limit().has_value();
--- a/Libraries/LibLoad/AdmissionController.h
+++ b/Libraries/LibLoad/AdmissionController.h
@@ -160,6 +160,7 @@
     Admission decide(Service&, std::size_t rank, CallerShares::Caller&, double cost);
     bool isRetry(CallerShares::Caller&) const;
     Admission refuse(Service&, std::size_t rank, CallerShares::Caller&, Admission);
+    void learnSizes();
     void updateContention(Service&);
     void divideCapacity(Service&, double seconds);
     Contention describe(Service const&) const;
@@ -174,6 +175,7 @@
     RefusedOpens m_refusedOpens;
     std::map<std::optional<Directory::Priority>, AdmissionCounters> m_counters;
     Core::TimePoint m_lastDivision;
+    Core::TimePoint m_lastLearning;
 };
 
 }
--- a/Libraries/LibLoad/CapacityEstimator.cpp
+++ b/Libraries/LibLoad/CapacityEstimator.cpp
@@ -73,19 +73,27 @@
     m_measurement += m_lastInterval;
     if (m_lastInterval.refusals != 0)
         m_lastScarcity = m_clock.now();
-    if (!isMeasured())
+    averageCompletions();
+    if (!m_limit && isCongested(upstreamCount))
+        startContention();
+    else if (!isMeasured())
         return;
-    m_isCertain = m_measurement.responses() >= m_options.minimumResponses;
-    m_offeredRate = m_measurement.offered / m_measurement.duration.count();
-    if (m_limit)
+    else if (m_limit)
         adjust();
-    else if (isCongested(upstreamCount))
-        startContention();
     m_measurement = {};
     if (m_limit)
         endContentionWhenIdle();
 }
 
+void CapacityEstimator::averageCompletions()
+{
+    auto seconds = m_lastInterval.duration.count();
+    auto weight = std::min(1.0, seconds / std::chrono::duration<double> { m_options.completionAverage }.count());
+    m_completionRate += weight * (m_lastInterval.completed / seconds - m_completionRate);
+    m_isCertain = m_measurement.responses() >= m_options.minimumResponses || (m_isCertain && !isMeasured());
+    m_offeredRate = m_measurement.offered / m_measurement.duration.count();
+}
+
 bool CapacityEstimator::isMeasured() const
 {
     if (m_measurement.duration < m_options.minimumMeasurement)
@@ -96,7 +104,7 @@
 
 bool CapacityEstimator::isCongested(std::size_t upstreamCount) const
 {
-    if (!m_isCertain)
+    if (m_measurement.responses() < m_options.minimumResponses)
         return false;
     if (m_measurement.lateShare() > m_options.contentionLateShare)
         return true;
@@ -114,7 +122,7 @@
             / counts.duration.count();
     };
     auto rate = acceptedRate(m_measurement);
-    if (m_lastInterval.responses() >= m_options.minimumResponses)
+    if (2 * m_lastInterval.responses() >= m_options.minimumResponses)
         rate = std::max(rate, acceptedRate(m_lastInterval));
     m_limit = std::max(MinimumLimit, rate);
     m_lastScarcity = m_clock.now();
@@ -139,11 +147,9 @@
     if (excess < 0)
         return;
     // An unused limit must not stay far above the requests; nor may it fall below what the upstreams complete.
-    auto bound = [seconds](double count, double sign) {
-        return (count + sign * ChanceDeviations * std::sqrt(count)) / seconds;
-    };
-    m_limit = std::min(*m_limit, bound(m_measurement.started, 1));
-    m_limit = std::max({ *m_limit, bound(m_measurement.completed, -1), MinimumLimit });
+    auto started = static_cast<double>(m_measurement.started);
+    m_limit = std::min(*m_limit, (started + ChanceDeviations * std::sqrt(started)) / seconds);
+    m_limit = std::max({ *m_limit, m_completionRate, MinimumLimit });
 }
 
 void CapacityEstimator::endContentionWhenIdle()
--- a/Libraries/LibLoad/CapacityEstimator.h
+++ b/Libraries/LibLoad/CapacityEstimator.h
@@ -10,8 +10,8 @@
 namespace Chicorytally::Load {
 
 struct CapacityEstimatorOptions {
-    /// Granularity of the counts. Shorter than the shortest measurement, so that a pause or step shows in it.
-    std::chrono::milliseconds interval { 100 };
+    /// Granularity of the counts; the interval of the balancer's ticks. An overload is detected after one.
+    std::chrono::milliseconds interval { 50 };
     /// A measurement lasts at least this long, since completions follow their requests by a queueing time of 100 ms.
     std::chrono::milliseconds minimumMeasurement { 200 };
     /// A measurement ends after this time, however few responses it has. Bounds the time to follow a halving.
@@ -20,17 +20,19 @@
     std::uint32_t minimumResponses { 20 };
     /// Share of rejected requests that is aimed at. Above zero, so that free capacity is found; small, so that callers'
     /// retries of rejected requests succeed.
-    double targetRejectedShare { 0.03 };
+    double targetRejectedShare { 0.08 };
     /// Share of rejected requests at which contention starts. Above the share of failures in normal operation.
-    double contentionShare { 0.06 };
+    double contentionShare { 0.10 };
     /// Number of rejections in a measurement from which contention can start. One upstream alone may reject a few.
-    std::uint32_t minimumRejections { 4 };
+    std::uint32_t minimumRejections { 6 };
     /// Rejections must come from this many upstreams, since one that fails attracts requests by its fast responses.
     std::size_t minimumRejectingUpstreams { 3 };
     /// Share of responses over their goal that counts as congestion. 3% of requests take 7 times as long when idle.
     double contentionLateShare { 0.25 };
-    /// Growth of the limit per second without rejections. Doubles it in 2.4 s.
-    double growthPerSecond { 0.3 };
+    /// Time over which completions are averaged; the limit doesn't fall below their rate.
+    std::chrono::milliseconds completionAverage { 500 };
+    /// Growth of the limit per second without rejections. Doubles it in 1.2 s.
+    double growthPerSecond { 0.6 };
     /// Growth of the limit after a measurement with too few responses.
     double uncertainGrowth { 1.25 };
     /// Contention ends if the limit has exceeded the offered rate for this long without a refusal.
@@ -84,6 +86,7 @@
 
     bool isMeasured() const;
     bool isCongested(std::size_t upstreamCount) const;
+    void averageCompletions();
     void startContention();
     void adjust();
     void endContentionWhenIdle();
@@ -98,6 +101,7 @@
     Core::TimePoint m_lastScarcity;
     std::optional<double> m_limit;
     double m_offeredRate { 0 };
+    double m_completionRate { 0 };
     bool m_isCertain { false };
 };
 
--- a/Libraries/LibLoad/RouteProfile.cpp
+++ b/Libraries/LibLoad/RouteProfile.cpp
@@ -1,6 +1,7 @@
 #include <LibLoad/RouteProfile.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Chicorytally::Load {
 
@@ -11,6 +12,12 @@
 // Step of the first responses, shared among them.
 static constexpr double FirstStep = 0.5;
 static constexpr std::uint32_t MinimumResponses = 10;
+// Number of responses after which the counts of sizes are halved.
+static constexpr double SizeWindow = 10'000;
+// Fewer responses don't tell how many are usually short.
+static constexpr double MinimumSizes = 50;
+// Below half of the share of rejections at which contention starts.
+static constexpr double UsualShortShare = 0.04;
 // Number of opens after which the counts are halved, so that the average follows changes.
 static constexpr double OpenWindow = 200;
 // Weight of the assumption that an open brings one request, in opens.
@@ -37,6 +44,31 @@
     return std::chrono::nanoseconds { static_cast<std::int64_t>(time->nanoseconds) };
 }
 
+void RouteProfile::noteSize(bool isShort)
+{
+    m_currentSizes.responses += 1;
+    m_currentSizes.shortOnes += isShort ? 1 : 0;
+}
+
+void RouteProfile::learnSizes(bool isContended)
+{
+    auto current = std::exchange(m_currentSizes, {});
+    auto previous = std::exchange(m_previousSizes, isContended ? SizeCounts {} : current);
+    if (isContended)
+        return;
+    m_usualSizes.responses += previous.responses;
+    m_usualSizes.shortOnes += previous.shortOnes;
+    if (m_usualSizes.responses < SizeWindow)
+        return;
+    m_usualSizes.responses /= 2;
+    m_usualSizes.shortOnes /= 2;
+}
+
+bool RouteProfile::isShortUnusual() const
+{
+    return m_usualSizes.responses >= MinimumSizes && m_usualSizes.shortOnes <= UsualShortShare * m_usualSizes.responses;
+}
+
 void RouteProfile::noteOpen()
 {
     m_opens += 1;
--- a/Libraries/LibLoad/RouteProfile.h
+++ b/Libraries/LibLoad/RouteProfile.h
@@ -23,6 +23,14 @@
     /// separate because of the network path.
     std::optional<std::chrono::nanoseconds> fastTime(Core::ZoneId) const;
 
+    /// Records whether a response was short.
+    void noteSize(bool isShort);
+    /// Learns how many responses are usually short. To be called once per second. Counts reach the average two calls
+    /// later, so that an overload is detected before its rejections count as usual.
+    void learnSizes(bool isContended);
+    /// Good responses of this route are hardly ever short, so that a short one is a rejection however late it arrives.
+    bool isShortUnusual() const;
+
     void noteOpen();
     /// Records a request of a flow within PrepaidTime after its open.
     void notePrepaidRequest() { m_requests += 1; }
@@ -36,7 +44,15 @@
         std::uint32_t responses { 0 };
     };
 
+    struct SizeCounts {
+        double responses { 0 };
+        double shortOnes { 0 };
+    };
+
     absl::InlinedVector<FastTime, 4> m_fastTimes;
+    SizeCounts m_currentSizes;
+    SizeCounts m_previousSizes;
+    SizeCounts m_usualSizes;
     double m_opens { 0 };
     double m_requests { 0 };
 };
--- a/Tests/LibLoad/AdmissionSite.cpp
+++ b/Tests/LibLoad/AdmissionSite.cpp
@@ -40,7 +40,6 @@
 struct AdmissionSite::Balancer {
     std::unique_ptr<Load::AdmissionController> controller;
     Load::ShortResponseDetector sizes { {} };
-    std::array<std::uint16_t, Upstreams> inFlight {};
 };
 
 struct AdmissionSite::Upstream {
@@ -168,11 +167,9 @@
     auto users
         = std::max(1.0, m_pattern.load(kind, m_now) * Slots * Upstreams / propertiesOf(kind).work / RequestsPerUser);
     request.user = m_random() % static_cast<std::size_t>(users) + 1;
-    if (std::uniform_real_distribution {}(m_random) < m_pattern.greedyShare)
-        request.user -= request.user % Addresses;
     if (auto* outcome = outcomeOf(request)) {
         ++outcome->asked;
-        outcome->greedyAsked += request.user % Addresses == 0 ? 1 : 0;
+        outcome->greedyAsked += addressOf(request.user) == 0 ? 1 : 0;
     }
     if (kind == Kind::Submission) {
         open(request);
@@ -188,21 +185,24 @@
         open(request);
 }
 
+unsigned AdmissionSite::addressOf(std::size_t user) const
+{
+    bool isGreedy = static_cast<double>(Core::hashPair(user, 1) % 1000) < 1000 * m_pattern.greedyShare;
+    return isGreedy ? 0 : 1 + static_cast<unsigned>(user % Addresses);
+}
+
 KindOutcome* AdmissionSite::outcomeOf(Request const& request)
 {
     return request.first < m_pattern.countedFrom ? nullptr : &m_outcome.kinds[static_cast<std::size_t>(request.kind)];
 }
 
-std::size_t AdmissionSite::chooseUpstream(Balancer& balancer)
+std::size_t AdmissionSite::chooseUpstream()
 {
-    // The least loaded of some, by this balancer's own counts.
-    std::size_t best = m_random() % Upstreams;
-    for (int i = 0; i < 8; ++i) {
-        std::size_t other = m_random() % Upstreams;
-        if (balancer.inFlight[other] < balancer.inFlight[best])
-            best = other;
-    }
-    return best;
+    // Upstream selection is not under test: the less loaded of two.
+    auto load = [this](std::size_t i) { return m_upstreams[i].busy + m_upstreams[i].queue.size(); };
+    std::size_t first = m_random() % Upstreams;
+    std::size_t second = m_random() % Upstreams;
+    return load(first) < load(second) ? first : second;
 }
 
 void AdmissionSite::open(Request request)
@@ -211,7 +211,7 @@
         request.balancer = m_random() % Balancers;
     while (isDown(request.balancer));
     auto& balancer = *m_balancers[request.balancer];
-    auto address = static_cast<unsigned>(request.user % Addresses);
+    auto address = addressOf(request.user);
     std::array<std::uint8_t, 4> bytes { 100, 64, static_cast<std::uint8_t>(address >> 8),
         static_cast<std::uint8_t>(address) };
     request.flow = { { Core::IpAddress::fromV4(bytes), static_cast<std::uint16_t>(m_random()) },
@@ -225,7 +225,7 @@
         retry(request, true);
         return;
     }
-    request.upstream = chooseUpstream(balancer);
+    request.upstream = chooseUpstream();
     if (request.kind == Kind::Stream)
         m_streamFlows[request.user]
             = { static_cast<double>(request.balancer), static_cast<double>(request.upstream), m_now };
@@ -237,7 +237,6 @@
     auto age = request.kind == Kind::Stream ? m_now - m_streamFlows[request.user][2] : 0;
     request.sent = m_now;
     auto& balancer = *m_balancers[request.balancer];
-    ++balancer.inFlight[request.upstream];
     balancer.controller->noteRequest(
         Service, propertiesOf(request.kind).route, std::chrono::nanoseconds { std::llround(age * 1e9) });
     ++m_outcome.arrivals;
@@ -251,7 +250,7 @@
         ++m_outcome.rejected;
         if (request.kind == Kind::Stream)
             m_streamFlows[request.user][2] = 0;
-        at(RoundTripSeconds, [this, request] {
+        at(RoundTripSeconds + m_pattern.rejectionDelay, [this, request] {
             noteResponse(request, RejectionBytes);
             retry(request, false);
         });
@@ -284,14 +283,13 @@
             return;
         bool isOnTime = m_now - request.first <= propertiesOf(request.kind).goal;
         ++(isOnTime ? outcome->onTime : outcome->late);
-        outcome->greedyOnTime += isOnTime && request.user % Addresses == 0 ? 1 : 0;
+        outcome->greedyOnTime += isOnTime && addressOf(request.user) == 0 ? 1 : 0;
     });
 }
 
 void AdmissionSite::noteResponse(Request const& request, std::uint32_t bytes)
 {
     auto& balancer = *m_balancers[request.balancer];
-    --balancer.inFlight[request.upstream];
     if (isDown(request.balancer))
         return;
     auto const& route = propertiesOf(request.kind).route;
--- a/Tests/LibLoad/AdmissionSite.h
+++ b/Tests/LibLoad/AdmissionSite.h
@@ -30,6 +30,8 @@
     std::function<double(double upstream, double time)> speed = [](double, double) { return 1.0; };
     /// Part of the requests that come from a single address.
     double greedyShare { 0 };
+    /// Seconds that a rejection takes in addition to the round trip, such as a network path to another zone.
+    double rejectionDelay { 0 };
     /// Attempts after the first one.
     unsigned retries { 2 };
     double duration { 10 };
@@ -114,8 +116,9 @@
     void retry(Request, bool isRefused);
     void noteResponse(Request const&, std::uint32_t bytes);
     bool isDown(std::size_t balancer) const;
-    std::size_t chooseUpstream(Balancer&);
+    std::size_t chooseUpstream();
     void tick();
+    unsigned addressOf(std::size_t user) const;
     void addOracleValue(double seconds);
     KindOutcome* outcomeOf(Request const&);
 
--- a/Tests/LibLoad/TestAdmissionPatterns.cpp
+++ b/Tests/LibLoad/TestAdmissionPatterns.cpp
@@ -23,6 +23,11 @@
             .load
             = [](Kind kind,
                   double t) { return kind == Kind::Submission ? step(t, 2, 20, .15, .5) : step(t, 2, 20, .35, 1.5); } },
+        { .name = "step, late rejections",
+            .load
+            = [](Kind kind,
+                  double t) { return kind == Kind::Submission ? step(t, 2, 20, .15, .5) : step(t, 2, 20, .35, 1.5); },
+            .rejectionDelay = .08 },
         { .name = "surge of streams",
             .load = [](Kind kind, double t) { return kind == Kind::Submission ? .2 : step(t, 2, 9, .3, 2.0); } },
         { .name = "surge of submissions",
