--- a/Libraries/LibLoad/CapacityEstimator.cpp
+++ b/Libraries/LibLoad/CapacityEstimator.cpp
@@ -128,6 +128,12 @@
     m_lastScarcity = m_clock.now();
 }
 
+double CapacityEstimator::targetRejectedShare() const
+{
+    bool areManyLate = m_measurement.lateShare() > m_options.manyLateShare;
+    return areManyLate ? m_options.lateTargetRejectedShare : m_options.targetRejectedShare;
+}
+
 void CapacityEstimator::adjust()
 {
     if (!m_isCertain) {
@@ -138,10 +144,11 @@
         return;
     }
     auto seconds = m_measurement.duration.count();
-    auto excess = m_measurement.rejectedShare() - m_options.targetRejectedShare;
+    auto target = targetRejectedShare();
+    auto excess = m_measurement.rejectedShare() - target;
     bool isLate = m_measurement.lateShare() > m_options.contentionLateShare;
     if (excess < 0 && !isLate)
-        *m_limit *= 1 - m_options.growthPerSecond * seconds * excess / m_options.targetRejectedShare;
+        *m_limit *= 1 - m_options.growthPerSecond * seconds * excess / target;
     else
         *m_limit *= 1 - std::max(excess, 0.0);
     if (excess < 0)
--- a/Libraries/LibLoad/CapacityEstimator.h
+++ b/Libraries/LibLoad/CapacityEstimator.h
@@ -21,6 +21,10 @@
     /// Share of rejected requests that is aimed at. Above zero, so that free capacity is found; small, so that callers'
     /// retries of rejected requests succeed.
     double targetRejectedShare { 0.08 };
+    /// The same while many responses are late. Fewer rejections mean shorter queues.
+    double lateTargetRejectedShare { 0.01 };
+    /// Share of responses over their goal above which it applies. Above the 3% that are late when idle.
+    double manyLateShare { 0.04 };
     /// Share of rejected requests at which contention starts. Above the share of failures in normal operation.
     double contentionShare { 0.10 };
     /// Number of rejections in a measurement from which contention can start. One upstream alone may reject a few.
@@ -88,6 +92,7 @@
     bool isCongested(std::size_t upstreamCount) const;
     void averageCompletions();
     void startContention();
+    double targetRejectedShare() const;
     void adjust();
     void endContentionWhenIdle();
 
--- a/Tests/LibLoad/AdmissionSite.cpp
+++ b/Tests/LibLoad/AdmissionSite.cpp
@@ -108,7 +108,9 @@
 SiteOutcome AdmissionSite::run()
 {
     m_outcome.servedPerSecond.resize(static_cast<std::size_t>(std::ceil(m_pattern.duration)) + 1);
-    m_outcome.refusalsPerSecond.resize(m_outcome.servedPerSecond.size());
+    for (auto* counts : { &m_outcome.refusalsPerSecond, &m_outcome.urgentAskedPerSecond,
+             &m_outcome.urgentOnTimePerSecond, &m_outcome.urgentLatePerSecond })
+        counts->resize(m_outcome.servedPerSecond.size());
     scheduleArrival(Kind::Submission);
     scheduleArrival(Kind::Stream);
     tick();
@@ -132,7 +134,7 @@
     }
     if (onTick)
         onTick(m_now);
-    if (m_now >= m_pattern.countedFrom)
+    if (isCounted(m_now))
         addOracleValue(TickSeconds);
     at(TickSeconds, [this] { tick(); });
 }
@@ -172,6 +174,7 @@
         outcome->greedyAsked += addressOf(request.user) == 0 ? 1 : 0;
     }
     if (kind == Kind::Submission) {
+        ++m_outcome.urgentAskedPerSecond[static_cast<std::size_t>(m_now)];
         open(request);
         return;
     }
@@ -191,9 +194,14 @@
     return isGreedy ? 0 : 1 + static_cast<unsigned>(user % Addresses);
 }
 
+bool AdmissionSite::isCounted(double time) const
+{
+    return time >= m_pattern.countedFrom && time < m_pattern.duration - 1;
+}
+
 KindOutcome* AdmissionSite::outcomeOf(Request const& request)
 {
-    return request.first < m_pattern.countedFrom ? nullptr : &m_outcome.kinds[static_cast<std::size_t>(request.kind)];
+    return isCounted(request.first) ? &m_outcome.kinds[static_cast<std::size_t>(request.kind)] : nullptr;
 }
 
 std::size_t AdmissionSite::chooseUpstream()
@@ -283,6 +291,9 @@
             return;
         bool isOnTime = m_now - request.first <= propertiesOf(request.kind).goal;
         ++(isOnTime ? outcome->onTime : outcome->late);
+        if (request.kind == Kind::Submission)
+            ++(isOnTime ? m_outcome.urgentOnTimePerSecond
+                        : m_outcome.urgentLatePerSecond)[static_cast<std::size_t>(request.first)];
         outcome->greedyOnTime += isOnTime && addressOf(request.user) == 0 ? 1 : 0;
     });
 }
--- a/Tests/LibLoad/AdmissionSite.h
+++ b/Tests/LibLoad/AdmissionSite.h
@@ -35,7 +35,7 @@
     /// Attempts after the first one.
     unsigned retries { 2 };
     double duration { 10 };
-    /// Requests first sent before this time are not counted.
+    /// Requests first sent before this time, or in the last second, are not counted.
     double countedFrom { 0 };
     bool hasAdmission { true };
     std::uint64_t seed { 1 };
@@ -67,6 +67,10 @@
     double oracleValue { 0 };
     std::vector<double> servedPerSecond;
     std::vector<double> refusalsPerSecond;
+    /// Urgent requests by the second in which they were first sent.
+    std::vector<double> urgentAskedPerSecond;
+    std::vector<double> urgentOnTimePerSecond;
+    std::vector<double> urgentLatePerSecond;
     std::uint64_t evictions { 0 };
 
     KindOutcome const& of(Kind kind) const { return kinds[static_cast<std::size_t>(kind)]; }
@@ -120,6 +124,7 @@
     void tick();
     unsigned addressOf(std::size_t user) const;
     void addOracleValue(double seconds);
+    bool isCounted(double time) const;
     KindOutcome* outcomeOf(Request const&);
 
     LoadPattern m_pattern;
