LibLoad: Charge callers for requests on open flows

Cause: a caller with many open flows kept its capacity, since only its opens counted; and the best priority was refused when the estimate was too low by chance. Change: requests on open flows use up the caller's share, the best priority is taken to fit up to 1.2 times the estimate.

--- a/Libraries/LibBalancer/AdmissionFilter.cpp
+++ b/Libraries/LibBalancer/AdmissionFilter.cpp
@@ -114,7 +114,7 @@
     std::optional<std::chrono::nanoseconds> age;
     if (flow.isOpenSeen)
         age = m_clock.now() - flow.openedAt;
-    m_controller.noteRequest(record->entry.service, key.destination, age);
+    m_controller.noteRequest(record->entry.service, key, age);
 }
 
 void AdmissionFilter::noteResponse(Core::FlowKey const& key, Placement::TokenFlow const& flow,
--- a/Libraries/LibLoad/AdmissionController.cpp
+++ b/Libraries/LibLoad/AdmissionController.cpp
@@ -20,8 +20,9 @@
 static constexpr std::uint32_t MaximumUncertainRefusals = 9;
 // Capacity that callers could not use is kept for this long, so that a burst after it can't fill the upstreams' queues.
 static constexpr double UnusedSeconds = 0.5;
-// Opens by which a caller may exceed its share if there is ample capacity.
-static constexpr double MaximumDebtOpens = 2;
+// Opens by which a caller may exceed its share, with requests on open flows or while there is ample capacity. A caller
+// that stops doing so gets its share again after some seconds.
+static constexpr double MaximumDebtOpens = 4;
 // Bounds the number of metrics.
 static constexpr std::size_t MaximumCountedPriorities = 16;
 
@@ -190,8 +191,8 @@
     if (supply == Supply::Scarce && isRepeat && !service.retries.admitRepeat(m_clock.now()))
         return refuse(service, rank, caller, Admission::RetryShare);
     service.consecutiveRefusals = 0;
-    caller.credit = static_cast<float>(std::max(caller.credit - cost, -MaximumDebtOpens * cost));
-    service.shares.charge(rank, cost, true);
+    chargeCaller(caller, cost, cost);
+    service.shares.charge(rank, cost);
     service.retries.opened();
     return Admission::Admitted;
 }
@@ -224,9 +225,9 @@
 }
 
 void AdmissionController::noteRequest(
-    Core::ServiceId id, Core::Endpoint const& address, std::optional<std::chrono::nanoseconds> const& flowAge)
+    Core::ServiceId id, Core::FlowKey const& flow, std::optional<std::chrono::nanoseconds> const& flowAge)
 {
-    auto [route, target] = find(id, address);
+    auto [route, target] = find(id, flow.destination);
     if (!target)
         return;
     auto& service = *target->service;
@@ -237,8 +238,16 @@
     }
     service.estimator.noteOffered(1);
     service.shares.noteDemand(target->rank, 1);
-    if (service.estimator.limit())
-        service.shares.charge(target->rank, 1, false);
+    if (!service.estimator.limit())
+        return;
+    auto const& rank = service.ranks[target->rank];
+    service.shares.charge(target->rank, 1);
+    chargeCaller(m_callers.find(rank.group, flow.source.address, rank.openCost), 1, rank.openCost);
+}
+
+void AdmissionController::chargeCaller(CallerShares::Caller& caller, double requests, double openCost)
+{
+    caller.credit = static_cast<float>(std::max(caller.credit - requests, -MaximumDebtOpens * openCost));
 }
 
 void AdmissionController::noteResponse(
--- a/Libraries/LibLoad/AdmissionController.h
+++ b/Libraries/LibLoad/AdmissionController.h
@@ -98,8 +98,7 @@
     Admission admit(Core::ServiceId, Core::FlowKey const&, std::uint32_t sequence);
     /// Records a request. `flowAge` is the time since its flow was opened; unset if another balancer forwarded the
     /// opening packet.
-    void noteRequest(
-        Core::ServiceId, Core::Endpoint const& route, std::optional<std::chrono::nanoseconds> const& flowAge);
+    void noteRequest(Core::ServiceId, Core::FlowKey const&, std::optional<std::chrono::nanoseconds> const& flowAge);
     void noteResponse(Core::ServiceId, Core::Endpoint const& route, AdmissionResponse const&);
     /// To be called every 50 ms.
     void tick();
@@ -158,6 +157,7 @@
     AdmissionCounters& countersOf(Directory::Priority);
     std::pair<Route*, Target const*> find(Core::ServiceId, Core::Endpoint const& route);
     Admission decide(Service&, std::size_t rank, CallerShares::Caller&, double cost);
+    static void chargeCaller(CallerShares::Caller&, double requests, double openCost);
     bool isRetry(CallerShares::Caller&) const;
     Admission refuse(Service&, std::size_t rank, CallerShares::Caller&, Admission);
     void learnSizes();
--- a/Libraries/LibLoad/CapacityEstimator.h
+++ b/Libraries/LibLoad/CapacityEstimator.h
@@ -20,7 +20,7 @@
     std::uint32_t minimumResponses { 20 };
     /// Share of rejected requests that is aimed at. Above zero, so that free capacity is found; small, so that callers'
     /// retries of rejected requests succeed.
-    double targetRejectedShare { 0.08 };
+    double targetRejectedShare { 0.05 };
     /// The same while many responses are late. Fewer rejections mean shorter queues.
     double lateTargetRejectedShare { 0.01 };
     /// Share of responses over their goal above which it applies. Above the 3% that are late when idle.
@@ -35,8 +35,8 @@
     double contentionLateShare { 0.25 };
     /// Time over which completions are averaged; the limit doesn't fall below their rate.
     std::chrono::milliseconds completionAverage { 500 };
-    /// Growth of the limit per second without rejections. Doubles it in 1.2 s.
-    double growthPerSecond { 0.6 };
+    /// Growth of the limit per second without rejections. Doubles it in 0.9 s.
+    double growthPerSecond { 0.8 };
     /// Growth of the limit after a measurement with too few responses.
     double uncertainGrowth { 1.25 };
     /// Contention ends if the limit has exceeded the offered rate for this long without a refusal.
--- a/Libraries/LibLoad/PriorityShares.cpp
+++ b/Libraries/LibLoad/PriorityShares.cpp
@@ -13,6 +13,9 @@
 static constexpr double MaximumDebt = 2;
 // A bucket filled to this part has capacity that callers with credit leave unused.
 static constexpr double AmplePart = 0.75;
+// The first rank is taken to fit up to this part of the estimate. If the estimate is right, upstreams reject a sixth of
+// its requests and retries succeed; if it is too low by chance, refusals would hit the most urgent requests.
+static constexpr double BestRankTolerance = 1.2;
 // Weight of the newest interval of 100 ms in the demand: averages over about half a second.
 static constexpr double DemandWeight = 0.2;
 
@@ -48,11 +51,11 @@
     m_reserve = std::min(LowerShare * requestsPerSecond + 1, m_reserve + LowerShare * requestsPerSecond * seconds);
 }
 
-void PriorityShares::charge(std::size_t rank, double requests, bool isOpen)
+void PriorityShares::charge(std::size_t rank, double requests)
 {
     for (auto i = rank; i < m_rankCount; ++i) {
         m_ranks[i].tokens = std::max(m_ranks[i].tokens - requests, -MaximumDebt * depth());
-        if (!isOpen || i != rank)
+        if (i != rank)
             m_ranks[i].budget -= requests;
     }
     if (rank > 0)
@@ -73,7 +76,7 @@
     double demand = 0;
     for (std::size_t i = 0; i <= rank; ++i)
         demand += m_ranks[i].demandRate;
-    auto share = m_rankCount > 1 ? 1 - LowerShare : 1;
+    auto share = rank == 0 ? BestRankTolerance : 1 - LowerShare;
     return demand <= share * m_capacity;
 }
 
--- a/Libraries/LibLoad/PriorityShares.h
+++ b/Libraries/LibLoad/PriorityShares.h
@@ -36,11 +36,11 @@
     /// Records the load of an open, admitted or not, or of a request on an open flow.
     void noteDemand(std::size_t rank, double requests) { m_ranks[rank].demand += requests; }
     /// Takes the load of an admitted open or of a request on an open flow.
-    void charge(std::size_t rank, double requests, bool isOpen);
+    void charge(std::size_t rank, double requests);
     Supply supplyOf(std::size_t rank) const;
     /// Updates the rates of the demand. To be called at regular intervals.
     void updateDemand(double seconds);
-    /// Tokens that the rank got since the last call, `seconds` ago, less the charges that were not for its own opens.
+    /// Tokens that the rank got since the last call, `seconds` ago, less the load of better ranks.
     double takeBudget(std::size_t rank, double seconds);
     /// Whether the demand of this and all better ranks is below the capacity.
     bool fits(std::size_t rank) const;
--- a/Tests/LibLoad/AdmissionSite.cpp
+++ b/Tests/LibLoad/AdmissionSite.cpp
@@ -182,6 +182,7 @@
     auto const& [balancer, upstream, openedAt] = m_streamFlows[request.user];
     request.balancer = static_cast<std::size_t>(balancer);
     request.upstream = static_cast<std::size_t>(upstream);
+    request.flow = flowOf(request);
     if (openedAt > 0 && !isDown(request.balancer))
         send(request);
     else
@@ -213,17 +214,22 @@
     return load(first) < load(second) ? first : second;
 }
 
+Core::FlowKey AdmissionSite::flowOf(Request const& request)
+{
+    auto address = addressOf(request.user);
+    std::array<std::uint8_t, 4> bytes { 100, 64, static_cast<std::uint8_t>(address >> 8),
+        static_cast<std::uint8_t>(address) };
+    return { { Core::IpAddress::fromV4(bytes), static_cast<std::uint16_t>(m_random()) },
+        propertiesOf(request.kind).route };
+}
+
 void AdmissionSite::open(Request request)
 {
     do
         request.balancer = m_random() % Balancers;
     while (isDown(request.balancer));
     auto& balancer = *m_balancers[request.balancer];
-    auto address = addressOf(request.user);
-    std::array<std::uint8_t, 4> bytes { 100, 64, static_cast<std::uint8_t>(address >> 8),
-        static_cast<std::uint8_t>(address) };
-    request.flow = { { Core::IpAddress::fromV4(bytes), static_cast<std::uint16_t>(m_random()) },
-        propertiesOf(request.kind).route };
+    request.flow = flowOf(request);
     ++m_outcome.opens;
     if (balancer.controller->admit(Service, request.flow, 1) != Load::Admission::Admitted) {
         ++m_outcome.refusals;
@@ -245,8 +251,7 @@
     auto age = request.kind == Kind::Stream ? m_now - m_streamFlows[request.user][2] : 0;
     request.sent = m_now;
     auto& balancer = *m_balancers[request.balancer];
-    balancer.controller->noteRequest(
-        Service, propertiesOf(request.kind).route, std::chrono::nanoseconds { std::llround(age * 1e9) });
+    balancer.controller->noteRequest(Service, request.flow, std::chrono::nanoseconds { std::llround(age * 1e9) });
     ++m_outcome.arrivals;
     auto& upstream = m_upstreams[request.upstream];
     bool isServing = m_pattern.speed(static_cast<double>(request.upstream) / Upstreams, m_now) > 0;
--- a/Tests/LibLoad/AdmissionSite.h
+++ b/Tests/LibLoad/AdmissionSite.h
@@ -113,6 +113,7 @@
     void at(double delay, std::function<void()>);
     void scheduleArrival(Kind);
     void start(Kind);
+    Core::FlowKey flowOf(Request const&);
     void open(Request);
     void send(Request);
     void begin(std::size_t upstream, Request);
--- a/Tests/LibLoad/TestAdmissionPatterns.cpp
+++ b/Tests/LibLoad/TestAdmissionPatterns.cpp
@@ -56,9 +56,9 @@
 
 static LoadPattern surgeOfStreams()
 {
-    return { .name = "surge of streams",
-        .load = loads(always(0.2), during(2, 9, 0.3, 2)),
-        .countedFrom = LearningSeconds };
+    return {
+        .name = "surge of streams", .load = loads(always(0.2), during(2, 9, 0.3, 2)), .countedFrom = LearningSeconds
+    };
 }
 
 static LoadPattern surgeOfSubmissions()
@@ -95,16 +95,12 @@
 
 static LoadPattern retryStorm()
 {
-    return { .name = "retry storm",
-        .load = loads(always(0.3), during(2, 3.5, 0.4, 3)),
-        .countedFrom = LearningSeconds };
-}
-
-static LoadPattern coldStart()
-{
-    return { .name = "cold start at a peak", .load = loads(always(0.5), always(1.5)) };
+    return {
+        .name = "retry storm", .load = loads(always(0.3), during(2, 3.5, 0.4, 3)), .countedFrom = LearningSeconds
+    };
 }
 
+static LoadPattern coldStart() { return { .name = "cold start at a peak", .load = loads(always(0.5), always(1.5)) }; }
 
 static SiteOutcome play(LoadPattern const& pattern)
 {
