LibLoad: Give unused capacity only to callers near their share

Cause: a caller that asks most often took most of the capacity that other callers left for a moment. Change: such capacity goes to callers that are at most one open over their share, while the rank's demand exceeds capacity.

--- a/Libraries/LibLoad/AdmissionController.cpp
+++ b/Libraries/LibLoad/AdmissionController.cpp
@@ -20,6 +20,8 @@
 static constexpr std::uint32_t MaximumUncertainRefusals = 9;
 // Capacity that callers could not use is kept for this long, so that a burst after it can't fill the upstreams' queues.
 static constexpr double UnusedSeconds = 0.5;
+// Opens by which a caller may exceed its share if others leave theirs unused.
+static constexpr double MaximumUnusedOpens = 1;
 // Opens by which a caller may exceed its share, with requests on open flows or while there is ample capacity. A caller
 // that stops doing so gets its share again after some seconds.
 static constexpr double MaximumDebtOpens = 4;
@@ -186,7 +188,8 @@
     auto supply = service.shares.supplyOf(rank);
     if (supply == Supply::None)
         return refuse(service, rank, caller, Admission::NoCapacity);
-    if (supply == Supply::Scarce && caller.credit < cost)
+    auto required = supply == Supply::Unused ? -MaximumUnusedOpens * cost : cost;
+    if (supply != Supply::Enough && caller.credit < required)
         return refuse(service, rank, caller, Admission::CallerShare);
     if (supply == Supply::Scarce && isRepeat && !service.retries.admitRepeat(m_clock.now()))
         return refuse(service, rank, caller, Admission::RetryShare);
--- a/Libraries/LibLoad/PriorityShares.cpp
+++ b/Libraries/LibLoad/PriorityShares.cpp
@@ -65,8 +65,10 @@
 PriorityShares::Supply PriorityShares::supplyOf(std::size_t rank) const
 {
     auto tokens = m_ranks[rank].tokens;
-    if (fits(rank) || tokens >= AmplePart * depth())
-        return Supply::Ample;
+    if (fits(rank))
+        return Supply::Enough;
+    if (tokens >= AmplePart * depth())
+        return Supply::Unused;
     bool hasReserve = rank > 0 && m_reserve >= 1;
     return tokens >= 0 || hasReserve ? Supply::Scarce : Supply::None;
 }
--- a/Libraries/LibLoad/PriorityShares.h
+++ b/Libraries/LibLoad/PriorityShares.h
@@ -23,8 +23,10 @@
         None,
         /// Capacity for callers that have not used up their share.
         Scarce,
-        /// Capacity for anyone.
-        Ample,
+        /// Capacity that callers with credit leave unused.
+        Unused,
+        /// Capacity for all demand of the rank.
+        Enough,
     };
 
     PriorityShares(Core::Clock const&, std::size_t ranks);
