LibLoad, LibBalancer: Test admission control and its wiring

Cause: a caller that asks alone got two opens per interval, as credit is divided equally first; copies of refused opens were displaced at 3,500 in 700 ms; at 60 requests per second the limit jumped by 28% after one measurement. Change: what callers can't use is divided in further rounds, four entries for each refused open, growth per measurement of at most 12%.

--- a/Libraries/LibLoad/AdmissionController.cpp
+++ b/Libraries/LibLoad/AdmissionController.cpp
@@ -7,7 +7,7 @@
 using Supply = PriorityShares::Supply;
 
 // Interval at which capacity is divided among callers; that of the estimate.
-static constexpr std::chrono::milliseconds DivisionInterval { 100 };
+static constexpr std::chrono::milliseconds DivisionInterval { 50 };
 // Longer than the detection of an overload takes.
 static constexpr std::chrono::seconds LearningInterval { 1 };
 // A caller whose open was refused retries at once; later opens of its address are of other users.
@@ -194,7 +194,7 @@
     if (supply == Supply::Scarce && isRepeat && !service.retries.admitRepeat(m_clock.now()))
         return refuse(service, rank, caller, Admission::RetryShare);
     service.consecutiveRefusals = 0;
-    chargeCaller(caller, cost, cost);
+    CallerShares::charge(caller, cost, MaximumDebtOpens * cost);
     service.shares.charge(rank, cost);
     service.retries.opened();
     return Admission::Admitted;
@@ -245,12 +245,8 @@
         return;
     auto const& rank = service.ranks[target->rank];
     service.shares.charge(target->rank, 1);
-    chargeCaller(m_callers.find(rank.group, flow.source.address, rank.openCost), 1, rank.openCost);
-}
-
-void AdmissionController::chargeCaller(CallerShares::Caller& caller, double requests, double openCost)
-{
-    caller.credit = static_cast<float>(std::max(caller.credit - requests, -MaximumDebtOpens * openCost));
+    auto& caller = m_callers.find(rank.group, flow.source.address, rank.openCost);
+    CallerShares::charge(caller, 1, MaximumDebtOpens * rank.openCost);
 }
 
 void AdmissionController::noteResponse(
@@ -283,12 +279,11 @@
         m_lastDivision = m_clock.now();
     learnSizes();
     for (auto& [id, service] : m_services) {
+        if (isDivisionDue)
+            service->shares.updateDemand(elapsed.count());
         service->estimator.tick(m_hooks.upstreamCount(id));
         updateContention(*service);
-        if (!isDivisionDue)
-            continue;
-        service->shares.updateDemand(elapsed.count());
-        if (service->isContended)
+        if (isDivisionDue && service->isContended)
             divideCapacity(*service, elapsed.count());
     }
 }
@@ -313,7 +308,7 @@
         service.shares.restart(*service.estimator.limit());
         for (std::size_t i = 0; i < service.shares.rankCount(); ++i) {
             service.ranks[i].unused = 0;
-            service.ranks[i].hasRefusals = !service.shares.fits(i);
+            service.ranks[i].hasRefusals = service.shares.exceeds(i);
         }
     }
     auto const& hook = isContended ? m_hooks.contentionStarted : m_hooks.contentionEnded;
--- a/Libraries/LibLoad/AdmissionController.h
+++ b/Libraries/LibLoad/AdmissionController.h
@@ -46,7 +46,7 @@
     /// Callers with a share, over all services. A zone of the largest known site has 750 addresses; 64 bytes each.
     std::size_t maximumCallers { 4096 };
     /// Refused opens that are remembered; 16 bytes each. At 5,000 refusals per second, 3,500 must be remembered.
-    std::size_t maximumRefusedOpens { 8192 };
+    std::size_t maximumRefusedOpens { 16'384 };
 };
 
 /// A service in contention, or one that was until now.
@@ -157,7 +157,6 @@
     AdmissionCounters& countersOf(Directory::Priority);
     std::pair<Route*, Target const*> find(Core::ServiceId, Core::Endpoint const& route);
     Admission decide(Service&, std::size_t rank, CallerShares::Caller&, double cost);
-    static void chargeCaller(CallerShares::Caller&, double requests, double openCost);
     bool isRetry(CallerShares::Caller&) const;
     Admission refuse(Service&, std::size_t rank, CallerShares::Caller&, Admission);
     void learnSizes();
--- a/Libraries/LibLoad/CallerShares.cpp
+++ b/Libraries/LibLoad/CallerShares.cpp
@@ -11,8 +11,11 @@
 static constexpr std::size_t Ways = 4;
 // A caller without opens for this long gets no more credit. Callers at an address open every 2 s at one balancer.
 static constexpr std::chrono::seconds ActiveTime { 5 };
-// Opens for which a caller can save credit. More would let callers that return start a burst.
+// Opens, and multiple of its last use, for which a caller can save credit. More would let callers that return start a
+// burst.
 static constexpr double MaximumSavedOpens = 2;
+// Rounds in which callers get what others can't use. What is left after them is divided at the next call.
+static constexpr int GrantRounds = 3;
 
 CallerShares::CallerShares(Core::Clock const& clock, std::size_t maximumCallers)
     : m_clock(clock)
@@ -61,24 +64,42 @@
     return caller;
 }
 
+void CallerShares::charge(Caller& caller, double requests, double maximumDebt)
+{
+    caller.credit = static_cast<float>(std::max(caller.credit - requests, -maximumDebt));
+    caller.used += static_cast<float>(requests);
+}
+
+float CallerShares::maximumCredit(Caller const& caller, double openCost)
+{
+    return static_cast<float>(MaximumSavedOpens * (openCost + caller.used));
+}
+
 double CallerShares::grant(Group group, double requests, double openCost)
 {
-    std::size_t active = 0;
-    for (auto const& caller : m_callers)
-        active += caller.group == group && isActive(caller) ? 1 : 0;
-    if (active == 0)
-        return requests;
-    auto share = static_cast<float>(requests / static_cast<double>(active));
-    auto maximum = static_cast<float>(MaximumSavedOpens * openCost);
-    double unused = 0;
-    for (auto& caller : m_callers) {
-        if (caller.group != group || !isActive(caller))
-            continue;
-        caller.credit += share;
-        unused += std::max(0.0F, caller.credit - maximum);
-        caller.credit = std::min(caller.credit, maximum);
+    for (int round = 0; round < GrantRounds && requests > 0; ++round) {
+        std::size_t receivers = 0;
+        for (auto const& caller : m_callers) {
+            bool isMember = caller.group == group && isActive(caller);
+            receivers += isMember && caller.credit < maximumCredit(caller, openCost) ? 1 : 0;
+        }
+        if (receivers == 0)
+            break;
+        auto share = static_cast<float>(requests / static_cast<double>(receivers));
+        requests = 0;
+        for (auto& caller : m_callers) {
+            if (caller.group != group || !isActive(caller))
+                continue;
+            auto maximum = maximumCredit(caller, openCost);
+            if (caller.credit >= maximum)
+                continue;
+            requests += std::max(0.0F, caller.credit + share - maximum);
+            caller.credit = std::min(caller.credit + share, maximum);
+        }
     }
-    return unused;
+    for (auto& caller : m_callers)
+        caller.used = caller.group == group ? 0 : caller.used;
+    return requests;
 }
 
 }
--- a/Libraries/LibLoad/CallerShares.h
+++ b/Libraries/LibLoad/CallerShares.h
@@ -22,6 +22,8 @@
         Group group { 0 };
         /// Requests that the caller may start now.
         float credit { 0 };
+        /// Requests charged since capacity was last divided.
+        float used { 0 };
         Core::TimePoint lastOpen;
         Core::TimePoint lastRefusal;
         /// Refusals that the caller may still answer with a retry.
@@ -36,10 +38,12 @@
     Caller& find(Group, Core::IpAddress const&, double openCost);
     /// Divides capacity, in requests, among the active callers of the group. Returns what they could not use.
     double grant(Group, double requests, double openCost);
+    static void charge(Caller&, double requests, double maximumDebt);
     std::uint64_t evictions() const { return m_evictions; }
 
 private:
     bool isActive(Caller const&) const;
+    static float maximumCredit(Caller const&, double openCost);
     Caller& slotFor(std::uint64_t key);
 
     Core::Clock const& m_clock;
--- a/Libraries/LibLoad/CapacityEstimator.cpp
+++ b/Libraries/LibLoad/CapacityEstimator.cpp
@@ -148,7 +148,7 @@
     auto excess = m_measurement.rejectedShare() - target;
     bool isLate = m_measurement.lateShare() > m_options.contentionLateShare;
     if (excess < 0 && !isLate)
-        *m_limit *= 1 - m_options.growthPerSecond * seconds * excess / target;
+        *m_limit *= 1 + std::min(m_options.maximumGrowth, -m_options.growthPerSecond * seconds * excess / target);
     else
         *m_limit *= 1 - std::max(excess, 0.0);
     if (excess < 0)
--- a/Libraries/LibLoad/CapacityEstimator.h
+++ b/Libraries/LibLoad/CapacityEstimator.h
@@ -37,6 +37,8 @@
     std::chrono::milliseconds completionAverage { 500 };
     /// Growth of the limit per second without rejections. Doubles it in 0.9 s.
     double growthPerSecond { 0.8 };
+    /// Greatest growth by one measurement. The minimum of 20 responses have no rejection by chance if 5% are rejected.
+    double maximumGrowth { 0.12 };
     /// Growth of the limit after a measurement with too few responses.
     double uncertainGrowth { 1.25 };
     /// Contention ends if the limit has exceeded the offered rate for this long without a refusal.
--- a/Libraries/LibLoad/PriorityShares.cpp
+++ b/Libraries/LibLoad/PriorityShares.cpp
@@ -16,8 +16,8 @@
 // The first rank is taken to fit up to this part of the estimate. If the estimate is right, upstreams reject a sixth of
 // its requests and retries succeed; if it is too low by chance, refusals would hit the most urgent requests.
 static constexpr double BestRankTolerance = 1.2;
-// Weight of the newest interval of 100 ms in the demand: averages over about half a second.
-static constexpr double DemandWeight = 0.2;
+// Weight of the newest interval of 50 ms in the demand: averages over about half a second.
+static constexpr double DemandWeight = 0.1;
 
 PriorityShares::PriorityShares(Core::Clock const& clock, std::size_t ranks)
     : m_clock(clock)
@@ -82,10 +82,19 @@
     return demand <= share * m_capacity;
 }
 
+bool PriorityShares::exceeds(std::size_t rank) const
+{
+    double demand = 0;
+    for (std::size_t i = 0; i <= rank; ++i)
+        demand += m_ranks[i].latestRate;
+    return demand > m_capacity;
+}
+
 void PriorityShares::updateDemand(double seconds)
 {
     for (auto& rank : m_ranks) {
-        rank.demandRate += DemandWeight * (rank.demand / seconds - rank.demandRate);
+        rank.latestRate = rank.demand / seconds;
+        rank.demandRate += DemandWeight * (rank.latestRate - rank.demandRate);
         rank.demand = 0;
     }
 }
--- a/Libraries/LibLoad/PriorityShares.h
+++ b/Libraries/LibLoad/PriorityShares.h
@@ -46,6 +46,8 @@
     double takeBudget(std::size_t rank, double seconds);
     /// Whether the demand of this and all better ranks is below the capacity.
     bool fits(std::size_t rank) const;
+    /// Whether the latest demand, without its average, is above the capacity.
+    bool exceeds(std::size_t rank) const;
     std::size_t rankCount() const { return m_rankCount; }
 
 private:
@@ -55,6 +57,8 @@
         double demand { 0 };
         /// Requests per second, by opens and on open flows.
         double demandRate { 0 };
+        /// The same in the last interval.
+        double latestRate { 0 };
     };
 
     double depth() const;
--- a/Libraries/LibLoad/RefusedOpens.h
+++ b/Libraries/LibLoad/RefusedOpens.h
@@ -22,7 +22,7 @@
         Core::TimePoint time;
     };
 
-    std::size_t indexOf(std::uint64_t hash) const { return hash & (m_entries.size() - 1); }
+    std::size_t firstOf(std::uint64_t hash) const;
 
     Core::Clock const& m_clock;
     std::vector<Entry> m_entries;
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -63,4 +63,15 @@
     BOOST_TEST(error.find("listen.ready") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(AdmissionControlCanBeTurnedOff)
+{
+    // Guards against a misspelt switch that leaves admission control in the wrong state.
+    std::string error;
+    auto text = validSettings().dump();
+    BOOST_TEST(Platform::parseNodeSettings(text, PeerKey, error).value().isAdmissionControlEnabled);
+    BOOST_TEST(!Platform::parseNodeSettings(text, PeerKey, error, "off").value().isAdmissionControlEnabled);
+    BOOST_TEST(!Platform::parseNodeSettings(text, PeerKey, error, "no").has_value());
+    BOOST_TEST(error.find("CHICORYTALLY_ADMISSION_CONTROL") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Utilities/TestFlowTrace.cpp
+++ b/Tests/Utilities/TestFlowTrace.cpp
@@ -44,6 +44,9 @@
         "The upstream i-1 answered with 219 bytes, probably an error." },
     { "dropped", "event=open_dropped flow=100.64.0.7:4000-198.18.0.1:443 upstream=none reason=no_upstream",
         "front-a dropped the packet: no upstream of the service accepts new flows." },
+    { "overloaded", "event=open_refused flow=100.64.0.7:4000-198.18.0.1:443 reason=overloaded detail=caller_share",
+        "front-a answered with a reset: the service had too little capacity, and the caller's address had used up its "
+        "share." },
     { "nothing", "event=flow_joined flow=100.64.0.7:4000-198.18.0.1:443 upstream=i-1",
         "These balancers forwarded its packets and saw no failure: check the upstream and the network path from the "
         "caller to it." },
