--- a/Libraries/LibMessages/gen/load_types.cpp
+++ b/Libraries/LibMessages/gen/load_types.cpp
@@ -1098,6 +1098,181 @@
 }
 
 
+LoadReports::~LoadReports() noexcept {
+}
+
+
+void LoadReports::__set_recordVersion(const int16_t val) {
+  this->recordVersion = val;
+__isset.recordVersion = true;
+}
+
+void LoadReports::__set_records(const std::string& val) {
+  this->records = val;
+__isset.records = true;
+}
+
+void LoadReports::__set_peers(const std::string& val) {
+  this->peers = val;
+__isset.peers = true;
+}
+
+void LoadReports::__set_wantsPeers(const bool val) {
+  this->wantsPeers = val;
+__isset.wantsPeers = true;
+}
+std::ostream& operator<<(std::ostream& out, const LoadReports& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadReports::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->recordVersion);
+          this->__isset.recordVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->records);
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->peers);
+          this->__isset.peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsPeers);
+          this->__isset.wantsPeers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadReports::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadReports");
+
+  if (this->__isset.recordVersion) {
+    xfer += oprot->writeFieldBegin("recordVersion", ::apache::thrift::protocol::T_I16, 1);
+    xfer += oprot->writeI16(this->recordVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.records) {
+    xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeBinary(this->records);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.peers) {
+    xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeBinary(this->peers);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wantsPeers) {
+    xfer += oprot->writeFieldBegin("wantsPeers", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->wantsPeers);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadReports &a, LoadReports &b) {
+  using ::std::swap;
+  swap(a.recordVersion, b.recordVersion);
+  swap(a.records, b.records);
+  swap(a.peers, b.peers);
+  swap(a.wantsPeers, b.wantsPeers);
+  swap(a.__isset, b.__isset);
+}
+
+LoadReports::LoadReports(const LoadReports& other49) {
+  recordVersion = other49.recordVersion;
+  records = other49.records;
+  peers = other49.peers;
+  wantsPeers = other49.wantsPeers;
+  __isset = other49.__isset;
+}
+LoadReports::LoadReports(LoadReports&& other50) noexcept {
+  recordVersion = other50.recordVersion;
+  records = std::move(other50.records);
+  peers = std::move(other50.peers);
+  wantsPeers = other50.wantsPeers;
+  __isset = other50.__isset;
+}
+LoadReports& LoadReports::operator=(const LoadReports& other51) {
+  recordVersion = other51.recordVersion;
+  records = other51.records;
+  peers = other51.peers;
+  wantsPeers = other51.wantsPeers;
+  __isset = other51.__isset;
+  return *this;
+}
+LoadReports& LoadReports::operator=(LoadReports&& other52) noexcept {
+  recordVersion = other52.recordVersion;
+  records = std::move(other52.records);
+  peers = std::move(other52.peers);
+  wantsPeers = other52.wantsPeers;
+  __isset = other52.__isset;
+  return *this;
+}
+void LoadReports::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadReports(";
+  out << "recordVersion="; (__isset.recordVersion ? (out << to_string(recordVersion)) : (out << "<null>"));
+  out << ", " << "records="; (__isset.records ? (out << to_string(records)) : (out << "<null>"));
+  out << ", " << "peers="; (__isset.peers ? (out << to_string(peers)) : (out << "<null>"));
+  out << ", " << "wantsPeers="; (__isset.wantsPeers ? (out << to_string(wantsPeers)) : (out << "<null>"));
+  out << ")";
+}
+
+
 LoadMessage::~LoadMessage() noexcept {
 }
 
@@ -1116,6 +1291,11 @@
   this->upstreamReports = val;
 __isset.upstreamReports = true;
 }
+
+void LoadMessage::__set_loadReports(const LoadReports& val) {
+  this->loadReports = val;
+__isset.loadReports = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadMessage& obj)
 {
   obj.printTo(out);
@@ -1168,6 +1348,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReports.read(iprot);
+          this->__isset.loadReports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1200,6 +1388,11 @@
     xfer += this->upstreamReports.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loadReports) {
+    xfer += oprot->writeFieldBegin("loadReports", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->loadReports.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1210,33 +1403,38 @@
   swap(a.upstreamCounts, b.upstreamCounts);
   swap(a.healthResults, b.healthResults);
   swap(a.upstreamReports, b.upstreamReports);
+  swap(a.loadReports, b.loadReports);
   swap(a.__isset, b.__isset);
 }
 
-LoadMessage::LoadMessage(const LoadMessage& other49) {
-  upstreamCounts = other49.upstreamCounts;
-  healthResults = other49.healthResults;
-  upstreamReports = other49.upstreamReports;
-  __isset = other49.__isset;
-}
-LoadMessage::LoadMessage(LoadMessage&& other50) noexcept {
-  upstreamCounts = std::move(other50.upstreamCounts);
-  healthResults = std::move(other50.healthResults);
-  upstreamReports = std::move(other50.upstreamReports);
-  __isset = other50.__isset;
-}
-LoadMessage& LoadMessage::operator=(const LoadMessage& other51) {
-  upstreamCounts = other51.upstreamCounts;
-  healthResults = other51.healthResults;
-  upstreamReports = other51.upstreamReports;
-  __isset = other51.__isset;
+LoadMessage::LoadMessage(const LoadMessage& other53) {
+  upstreamCounts = other53.upstreamCounts;
+  healthResults = other53.healthResults;
+  upstreamReports = other53.upstreamReports;
+  loadReports = other53.loadReports;
+  __isset = other53.__isset;
+}
+LoadMessage::LoadMessage(LoadMessage&& other54) noexcept {
+  upstreamCounts = std::move(other54.upstreamCounts);
+  healthResults = std::move(other54.healthResults);
+  upstreamReports = std::move(other54.upstreamReports);
+  loadReports = std::move(other54.loadReports);
+  __isset = other54.__isset;
+}
+LoadMessage& LoadMessage::operator=(const LoadMessage& other55) {
+  upstreamCounts = other55.upstreamCounts;
+  healthResults = other55.healthResults;
+  upstreamReports = other55.upstreamReports;
+  loadReports = other55.loadReports;
+  __isset = other55.__isset;
   return *this;
 }
-LoadMessage& LoadMessage::operator=(LoadMessage&& other52) noexcept {
-  upstreamCounts = std::move(other52.upstreamCounts);
-  healthResults = std::move(other52.healthResults);
-  upstreamReports = std::move(other52.upstreamReports);
-  __isset = other52.__isset;
+LoadMessage& LoadMessage::operator=(LoadMessage&& other56) noexcept {
+  upstreamCounts = std::move(other56.upstreamCounts);
+  healthResults = std::move(other56.healthResults);
+  upstreamReports = std::move(other56.upstreamReports);
+  loadReports = std::move(other56.loadReports);
+  __isset = other56.__isset;
   return *this;
 }
 void LoadMessage::printTo(std::ostream& out) const {
@@ -1245,6 +1443,7 @@
   out << "upstreamCounts="; (__isset.upstreamCounts ? (out << to_string(upstreamCounts)) : (out << "<null>"));
   out << ", " << "healthResults="; (__isset.healthResults ? (out << to_string(healthResults)) : (out << "<null>"));
   out << ", " << "upstreamReports="; (__isset.upstreamReports ? (out << to_string(upstreamReports)) : (out << "<null>"));
+  out << ", " << "loadReports="; (__isset.loadReports ? (out << to_string(loadReports)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMessages/gen/load_types.h
+++ b/Libraries/LibMessages/gen/load_types.h
@@ -46,6 +46,8 @@
 
 class UpstreamReports;
 
+class LoadReports;
+
 class LoadMessage;
 
 typedef struct _UpstreamCount__isset {
@@ -420,11 +422,86 @@
 
 std::ostream& operator<<(std::ostream& out, const UpstreamReports& obj);
 
+typedef struct _LoadReports__isset {
+  _LoadReports__isset() : recordVersion(false), records(false), peers(false), wantsPeers(false) {}
+  bool recordVersion :1;
+  bool records :1;
+  bool peers :1;
+  bool wantsPeers :1;
+} _LoadReports__isset;
+
+class LoadReports : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadReports(const LoadReports&);
+  LoadReports(LoadReports&&) noexcept;
+  LoadReports& operator=(const LoadReports&);
+  LoadReports& operator=(LoadReports&&) noexcept;
+  LoadReports() noexcept
+              : recordVersion(0),
+                records(),
+                peers(),
+                wantsPeers(0) {
+  }
+
+  virtual ~LoadReports() noexcept;
+  int16_t recordVersion;
+  std::string records;
+  std::string peers;
+  bool wantsPeers;
+
+  _LoadReports__isset __isset;
+
+  void __set_recordVersion(const int16_t val);
+
+  void __set_records(const std::string& val);
+
+  void __set_peers(const std::string& val);
+
+  void __set_wantsPeers(const bool val);
+
+  bool operator == (const LoadReports & rhs) const
+  {
+    if (__isset.recordVersion != rhs.__isset.recordVersion)
+      return false;
+    else if (__isset.recordVersion && !(recordVersion == rhs.recordVersion))
+      return false;
+    if (__isset.records != rhs.__isset.records)
+      return false;
+    else if (__isset.records && !(records == rhs.records))
+      return false;
+    if (__isset.peers != rhs.__isset.peers)
+      return false;
+    else if (__isset.peers && !(peers == rhs.peers))
+      return false;
+    if (__isset.wantsPeers != rhs.__isset.wantsPeers)
+      return false;
+    else if (__isset.wantsPeers && !(wantsPeers == rhs.wantsPeers))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadReports &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadReports & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadReports &a, LoadReports &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadReports& obj);
+
 typedef struct _LoadMessage__isset {
-  _LoadMessage__isset() : upstreamCounts(false), healthResults(false), upstreamReports(false) {}
+  _LoadMessage__isset() : upstreamCounts(false), healthResults(false), upstreamReports(false), loadReports(false) {}
   bool upstreamCounts :1;
   bool healthResults :1;
   bool upstreamReports :1;
+  bool loadReports :1;
 } _LoadMessage__isset;
 
 class LoadMessage : public virtual ::apache::thrift::TBase {
@@ -441,6 +518,7 @@
   UpstreamCounts upstreamCounts;
   HealthResults healthResults;
   UpstreamReports upstreamReports;
+  LoadReports loadReports;
 
   _LoadMessage__isset __isset;
 
@@ -450,6 +528,8 @@
 
   void __set_upstreamReports(const UpstreamReports& val);
 
+  void __set_loadReports(const LoadReports& val);
+
   bool operator == (const LoadMessage & rhs) const
   {
     if (__isset.upstreamCounts != rhs.__isset.upstreamCounts)
@@ -464,6 +544,10 @@
       return false;
     else if (__isset.upstreamReports && !(upstreamReports == rhs.upstreamReports))
       return false;
+    if (__isset.loadReports != rhs.__isset.loadReports)
+      return false;
+    else if (__isset.loadReports && !(loadReports == rhs.loadReports))
+      return false;
     return true;
   }
   bool operator != (const LoadMessage &rhs) const {
--- a/Libraries/LibMessages/load.thrift
+++ b/Libraries/LibMessages/load.thrift
@@ -55,8 +55,21 @@
     1: required list<UpstreamReport> reports,
 }
 
+/// What balancers have observed of upstreams, and addresses of balancers. Passed on from balancer to balancer.
+struct LoadReports {
+    /// Version of the records; receivers ignore records of other versions.
+    1: optional i16 recordVersion,
+    /// Format: LibRelay/LoadReportCodec.h.
+    2: optional binary records,
+    /// Balancers that were heard of recently. Format: LibRelay/PeerView.h.
+    3: optional binary peers,
+    /// The sender knows few balancers and asks for addresses.
+    4: optional bool wantsPeers,
+}
+
 union LoadMessage {
     1: UpstreamCounts upstreamCounts,
     2: HealthResults healthResults,
     3: UpstreamReports upstreamReports,
+    4: LoadReports loadReports,
 }
--- a/Libraries/LibRelay/PeerMessenger.cpp
+++ b/Libraries/LibRelay/PeerMessenger.cpp
@@ -31,16 +31,20 @@
 {
 }
 
-void PeerMessenger::send(std::vector<Core::Endpoint> const& receivers, Messages::PeerMessage const& message)
+std::size_t PeerMessenger::send(std::vector<Core::Endpoint> const& receivers, Messages::PeerMessage const& message)
 {
     if (receivers.empty())
-        return;
+        return 0;
+    bool isSent = false;
     auto datagram = m_sealer.seal({ message });
     for (auto const& receiver : receivers) {
         ++m_counters.sent;
-        if (!m_socket.send({ .header = datagram, .body = {}, .to = receiver }))
+        if (m_socket.send({ .header = datagram, .body = {}, .to = receiver }))
+            isSent = true;
+        else
             ++m_counters.sendFailures;
     }
+    return isSent ? datagram.size() : 0;
 }
 
 void PeerMessenger::receiveBatch()
@@ -55,7 +59,7 @@
             continue;
         }
         for (auto const& message : envelope->messages)
-            m_receive(message);
+            m_receive(message, { datagram.from, datagram.bytes.size() });
     }
 }
 
--- a/Libraries/LibRelay/PeerMessenger.h
+++ b/Libraries/LibRelay/PeerMessenger.h
@@ -5,6 +5,7 @@
 #include <LibEventLoop/EventLoop.h>
 #include <LibMessages/Messages.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,7 +35,13 @@
 /// Exchanges authenticated datagrams with other balancers. Lost datagrams are not retransmitted.
 class PeerMessenger {
 public:
-    using ReceiveHook = std::function<void(Messages::PeerMessage const&)>;
+    /// The source and the size of a received datagram, without UDP and IP headers.
+    struct Origin {
+        Core::Endpoint from;
+        std::size_t datagramSize { 0 };
+    };
+
+    using ReceiveHook = std::function<void(Messages::PeerMessage const&, Origin const&)>;
 
     /// Returns null and sets the error if the address can't be bound.
     static std::unique_ptr<PeerMessenger> create(
@@ -42,7 +49,8 @@
     PeerMessenger(PeerMessenger const&) = delete;
     PeerMessenger& operator=(PeerMessenger const&) = delete;
 
-    void send(std::vector<Core::Endpoint> const& receivers, Messages::PeerMessage const&);
+    /// Returns the size of the datagram in bytes, without UDP and IP headers, or 0 if it was sent to no receiver.
+    std::size_t send(std::vector<Core::Endpoint> const& receivers, Messages::PeerMessage const&);
     PeerMessengerCounters const& counters() const { return m_counters; }
 
 private:
--- a/Libraries/LibRelay/Subscription.cpp
+++ b/Libraries/LibRelay/Subscription.cpp
@@ -101,9 +101,13 @@
     if (!subscription->m_server)
         return nullptr;
     PeerMessengerOptions messengerOptions { options.address, options.self, options.incarnation, options.keys };
-    auto receive = [self = subscription.get()](auto const& message) { self->receive(message); };
+    auto receive
+        = [self = subscription.get()](auto const& message, auto const& origin) { self->receive(message, origin); };
     subscription->m_messenger = PeerMessenger::create(loop, messengerOptions, receive, error);
-    return subscription->m_messenger ? std::move(subscription) : nullptr;
+    if (!subscription->m_messenger)
+        return nullptr;
+    subscription->createLoadExchange(options);
+    return subscription;
 }
 
 Subscription::Subscription(
@@ -160,12 +164,44 @@
     };
 }
 
-void Subscription::receive(Messages::PeerMessage const& message)
+void Subscription::createLoadExchange(SubscriptionOptions const& options)
+{
+    if (!m_hooks.loadReport || !m_hooks.loadReportReceived)
+        return;
+    LoadExchangeOptions exchangeOptions { .self = options.self,
+        .address = options.address,
+        .incarnation = options.incarnation,
+        .seeds = options.seeds,
+        .randomSeed = options.randomSeed };
+    LoadExchangeHooks hooks {
+        .send =
+            [this](auto const& peer, auto const& reports) {
+                Messages::PeerMessage message;
+                message.__isset.load = true;
+                message.load.__set_loadReports(reports);
+                return m_messenger->send({ peer }, message);
+            },
+        .makeReport = m_hooks.loadReport,
+        .reportReceived = m_hooks.loadReportReceived,
+        .followers = [this] { return m_server->followers(); },
+    };
+    m_loadExchange = std::make_unique<LoadExchange>(m_clock, std::move(exchangeOptions), std::move(hooks));
+}
+
+void Subscription::receive(Messages::PeerMessage const& message, PeerMessenger::Origin const& origin)
 {
-    if (!message.__isset.load || !message.load.__isset.upstreamReports)
+    if (!message.__isset.load)
         return;
+    if (message.load.__isset.upstreamReports)
+        receiveUpstreamReports(message.load.upstreamReports);
+    if (message.load.__isset.loadReports && m_loadExchange)
+        m_loadExchange->receive(origin.from, message.load.loadReports, origin.datagramSize);
+}
+
+void Subscription::receiveUpstreamReports(Messages::UpstreamReports const& message)
+{
     Reports reports;
-    for (auto const& entry : message.load.upstreamReports.reports) {
+    for (auto const& entry : message.reports) {
         // Report kinds that are unknown to this version are ignored.
         if (auto report = fromMessage(entry))
             reports.push_back(*report);
@@ -178,6 +214,8 @@
     m_follower.tick();
     m_feed.tick();
     m_exchange.tick();
+    if (m_loadExchange)
+        m_loadExchange->tick();
     m_server->removeExpiredFollowers();
 }
 
--- a/Libraries/LibRelay/Subscription.h
+++ b/Libraries/LibRelay/Subscription.h
@@ -3,12 +3,14 @@
 #include <LibDistribution/Distribution.h>
 #include <LibEventLoop/EventLoop.h>
 #include <LibMessages/Messages.h>
+#include <LibRelay/LoadExchange.h>
 #include <LibRelay/PeerMessenger.h>
 #include <LibRelay/PeerReader.h>
 #include <LibRelay/PeerServer.h>
 #include <LibRelay/ReportExchange.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -40,6 +42,11 @@
     std::function<void()> requestFinished;
     /// Called for each new report of another balancer about an upstream.
     std::function<void(Load::PeerReport const&)> reportReceived;
+    /// Returns this balancer's observations of upstreams, see LoadExchangeHooks::makeReport. Load reports are exchanged
+    /// only if this hook and loadReportReceived are set; otherwise, nothing is sent and received ones are ignored.
+    std::function<Load::LoadReport(std::size_t maximumEntries)> loadReport;
+    /// Called for new observations of another balancer.
+    std::function<void(Load::LoadReport const&)> loadReportReceived;
 };
 
 struct SubscriptionCounters {
@@ -74,12 +81,16 @@
     std::uint64_t outdatedItemCount() const { return m_replica.outdatedCount(); }
     SubscriptionCounters const& counters() const { return m_counters; }
     PeerMessengerCounters const& messageCounters() const { return m_messenger->counters(); }
+    /// The exchange of load reports, or nullptr if its hooks are not set.
+    LoadExchange const* loadExchange() const { return m_loadExchange.get(); }
 
 private:
     Subscription(EventLoop::Loop&, Core::Clock const&, SubscriptionOptions const&, SubscriptionHooks);
 
     ReportExchangeHooks exchangeHooks();
-    void receive(Messages::PeerMessage const&);
+    void createLoadExchange(SubscriptionOptions const&);
+    void receive(Messages::PeerMessage const&, PeerMessenger::Origin const&);
+    void receiveUpstreamReports(Messages::UpstreamReports const&);
     void sendNextRequest();
     void handleAnswer(bool isPeer, Distribution::StoreAnswer const&);
     void finishRequest(bool isPeer, std::optional<Distribution::StoreAnswer> const&, Distribution::StoreFailure,
@@ -102,6 +113,7 @@
     /// The balancers that forward reports to their followers.
     std::vector<Core::Endpoint> m_relays;
     ReportExchange m_exchange;
+    std::unique_ptr<LoadExchange> m_loadExchange;
     std::unique_ptr<EventLoop::EventRegistration> m_timer;
 };
 
