--- a/Libraries/LibRelay/LoadExchange.cpp
+++ b/Libraries/LibRelay/LoadExchange.cpp
@@ -39,10 +39,10 @@
 // Ordinary messages leave room for two urgent ones.
 static constexpr double ReservedBytes = 250;
 static constexpr milliseconds KeepAliveInterval { 5000 };
-// After the start, views are filled faster: with 300 balancers and 15 s at the usual interval, 7% of the balancers were
-// missing from so many views that news took longer than 2 s to reach them.
-static constexpr milliseconds FirstKeepAliveInterval { 500 };
-static constexpr milliseconds StartTime { 15'000 };
+// After the start and after a partition, views are filled faster: with 300 balancers and 15 s at the usual interval, 7%
+// of the balancers were missing from so many views that news took longer than 2 s to reach them.
+static constexpr milliseconds FastKeepAliveInterval { 500 };
+static constexpr milliseconds FastKeepAliveTime { 15'000 };
 // Desynchronises the balancers of a fleet that starts at once.
 static constexpr double Jitter = 0.2;
 
@@ -69,6 +69,8 @@
 static constexpr std::size_t MaximumReporters = 1024;
 // Estimates of the size of the fleet halve in 70 s unless they are confirmed, and are passed on as they have decayed.
 static constexpr duration<double> FleetSizeDecay { 100 };
+// Parts of a fleet have found each other. Estimates that are not confirmed for 40 s decay by this factor, too.
+static constexpr double GrowthOfMergedFleet = 1.5;
 static constexpr milliseconds ExpiryInterval { 500 };
 
 // An observation that is repeated within this time isn't forwarded again. The sequence wraps after 9 hours.
@@ -83,6 +85,7 @@
     , m_records(clock, {})
     , m_contactInterval(FirstContactInterval)
     , m_startedAt(clock.now())
+    , m_fastKeepAlivesUntil(m_startedAt + FastKeepAliveTime)
     , m_nextRoundAt(m_startedAt)
     , m_nextKeepAliveAt(m_startedAt)
     , m_nextContactAt(m_startedAt)
@@ -101,8 +104,11 @@
 {
     // A peer that misreports can't raise the budget further.
     size = std::min(size, LargeFleet);
-    if (size < decayedFleetSize())
+    auto known = decayedFleetSize();
+    if (size < known)
         return;
+    if (size > GrowthOfMergedFleet * known)
+        m_fastKeepAlivesUntil = m_clock.now() + FastKeepAliveTime;
     m_fleetSize = size;
     m_fleetSizeAt = m_clock.now();
 }
@@ -238,10 +244,10 @@
 
 void LoadExchange::sendDraft(Core::Endpoint const& peer, Draft const& draft, bool isUrgent)
 {
-    bool isStarting = m_clock.now() - m_startedAt < StartTime;
+    bool isFast = m_clock.now() < m_fastKeepAlivesUntil;
     // Urgent messages carry no addresses.
     if (!isUrgent)
-        m_nextKeepAliveAt = m_clock.now() + withJitter(isStarting ? FirstKeepAliveInterval : KeepAliveInterval);
+        m_nextKeepAliveAt = m_clock.now() + withJitter(isFast ? FastKeepAliveInterval : KeepAliveInterval);
     auto size = send(peer, draft.message);
     // A full link gets as long a pause as after a full message.
     auto cost = static_cast<double>(size == 0 ? MaximumRecordBytes : size);
--- a/Libraries/LibRelay/LoadExchange.h
+++ b/Libraries/LibRelay/LoadExchange.h
@@ -125,6 +125,7 @@
     double m_fleetSize { 0 };
     Core::TimePoint m_fleetSizeAt;
     Core::TimePoint m_startedAt;
+    Core::TimePoint m_fastKeepAlivesUntil;
     Core::TimePoint m_nextRoundAt;
     Core::TimePoint m_nextKeepAliveAt;
     Core::TimePoint m_nextContactAt;
--- a/Libraries/LibRelay/PeerView.cpp
+++ b/Libraries/LibRelay/PeerView.cpp
@@ -16,7 +16,7 @@
 
 PeerView::PeerView(Core::Clock const& clock, Options options)
     : m_clock(clock)
-    , m_options(std::move(options))
+    , m_options(options)
 {
 }
 
--- a/Tests/LibMessages/TestEnvelope.cpp
+++ b/Tests/LibMessages/TestEnvelope.cpp
@@ -4,6 +4,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
 using namespace Chicorytally;
 
 BOOST_AUTO_TEST_SUITE(TestEnvelope)
@@ -83,4 +86,45 @@
     BOOST_TEST(opener.open(sealer.seal({})).has_value() == step.isAccepted, step.name);
 }
 
+/// Writes a LoadMessage with a member of a later version, which holds a structure.
+static void writeLaterLoadMessage(apache::thrift::protocol::TProtocol& protocol)
+{
+    using apache::thrift::protocol::T_STRING;
+    using apache::thrift::protocol::T_STRUCT;
+    protocol.writeStructBegin("LoadMessage");
+    protocol.writeFieldBegin("later", T_STRUCT, 99);
+    protocol.writeStructBegin("Later");
+    protocol.writeFieldBegin("bytes", T_STRING, 2);
+    protocol.writeBinary(std::string(300, '\xff'));
+    protocol.writeFieldEnd();
+    protocol.writeFieldStop();
+    protocol.writeStructEnd();
+    protocol.writeFieldEnd();
+    protocol.writeFieldStop();
+    protocol.writeStructEnd();
+}
+
+BOOST_AUTO_TEST_CASE(UnknownMemberOfLoadMessageIsIgnored)
+{
+    // Guards against balancers of an earlier version that reject messages of later ones during a rolling upgrade.
+    auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol { buffer };
+    writeLaterLoadMessage(protocol);
+    Messages::UpstreamReports reports;
+    reports.reports.emplace_back().upstream = 7;
+    Messages::LoadMessage following;
+    following.__set_upstreamReports(reports);
+    following.write(&protocol);
+
+    Messages::LoadMessage unknown;
+    unknown.read(&protocol);
+    BOOST_TEST(!unknown.__isset.upstreamCounts);
+    BOOST_TEST(!unknown.__isset.healthResults);
+    BOOST_TEST(!unknown.__isset.upstreamReports);
+    BOOST_TEST(!unknown.__isset.loadReports);
+    Messages::LoadMessage known;
+    known.read(&protocol);
+    BOOST_TEST((known == following));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibRelay/TestLoadExchange.cpp
+++ b/Tests/LibRelay/TestLoadExchange.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 using namespace Chicorytally;
 using namespace std::chrono_literals;
 
@@ -13,6 +15,9 @@
     double meanSent { 0 };
     double busiest { 0 };
     double middle { 0 };
+    /// Mean number of observations a second and node that were new to the receiver.
+    double entries { 0 };
+    double messages { 0 };
 };
 
 std::vector<Relay::LoadExchangeCounters> countersOf(LoadExchangeFleet const& fleet)
@@ -37,6 +42,10 @@
         auto received = static_cast<double>(after[node].bytesReceived - before[node].bytesReceived) / seconds;
         traffic.meanSent += sent / static_cast<double>(before.size());
         bytes.push_back(sent + received);
+        auto nodeSeconds = seconds * static_cast<double>(before.size());
+        traffic.entries
+            += static_cast<double>(after[node].entriesReceived - before[node].entriesReceived) / nodeSeconds;
+        traffic.messages += static_cast<double>(after[node].messagesSent - before[node].messagesSent) / nodeSeconds;
     }
     std::ranges::sort(bytes);
     traffic.busiest = bytes.back();
@@ -58,8 +67,140 @@
 
 }
 
+namespace {
+
+/// An exchange whose messages are written down.
+struct Single {
+    Core::ManualClock clock;
+    std::vector<std::pair<Core::Endpoint, Messages::LoadReports>> sent;
+    std::vector<Load::LoadReport> received;
+    Load::LoadReport own;
+    Relay::LoadExchange exchange { clock,
+        { .self = LoadExchangeFleet::reporter(0),
+            .address = LoadExchangeFleet::address(0),
+            .incarnation = Core::Incarnation { 1'790'000'000'000 },
+            .seeds = { LoadExchangeFleet::address(0), LoadExchangeFleet::address(1) } },
+        { .send =
+                [this](auto const& to, auto const& message) {
+                    sent.emplace_back(to, message);
+                    return std::size_t { 100 };
+                },
+            .makeReport = [this](auto) { return own; },
+            .reportReceived = [this](auto const& report) { received.push_back(report); } } };
+
+    void receive(Messages::LoadReports const& message)
+    {
+        exchange.receive(LoadExchangeFleet::address(2), message, 100);
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        for (auto end = clock.now() + time; clock.now() < end; clock.advance(50ms))
+            exchange.tick();
+    }
+};
+
+Messages::LoadReports messageWith(std::vector<Relay::LoadRecord> const& records)
+{
+    Relay::LoadReportWriter writer { 1000 };
+    for (auto const& record : records)
+        writer.add(record);
+    Messages::LoadReports message;
+    message.__set_recordVersion(Relay::LoadRecordVersion);
+    message.__set_records(writer.bytes());
+    return message;
+}
+
+}
+
 BOOST_AUTO_TEST_SUITE(LoadExchange)
 
+BOOST_FIXTURE_TEST_CASE(RecordsAreDeliveredOnceAndNeverToTheirReporter, Single)
+{
+    // Guards against counting an observation twice, and against a balancer that takes its own load for that of others.
+    auto message = messageWith(
+        { { Core::VmId { 5 }, 3, observation(Marked) }, { Core::VmId { 5 }, 3, observation(Core::UpstreamId { 2 }) },
+            { Core::VmId { 6 }, 3, observation(Marked) }, { LoadExchangeFleet::reporter(0), 3, observation(Marked) } });
+    receive(message);
+    receive(message);
+    receive(messageWith({ { Core::VmId { 5 }, 2, observation(Marked) } }));
+    BOOST_REQUIRE(received.size() == 2U);
+    BOOST_CHECK(received[0].reporter == Core::VmId { 5 });
+    BOOST_TEST(received[0].upstreams.size() == 2U);
+    BOOST_CHECK(received[1].reporter == Core::VmId { 6 });
+    BOOST_TEST(exchange.counters().entriesReceived == 3U);
+    BOOST_TEST(exchange.counters().entriesOutdated == 4U);
+    BOOST_TEST(exchange.counters().messagesRejected == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(UnknownRecordVersionIsIgnored, Single)
+{
+    // Guards against misreading records of a later version, and against losing sight of its sender.
+    auto later = messageWith({ { Core::VmId { 5 }, 3, observation(Marked) } });
+    later.__set_recordVersion(Relay::LoadRecordVersion + 1);
+    auto none = later;
+    none.__isset.recordVersion = false;
+    receive(later);
+    receive(none);
+    BOOST_TEST(received.empty());
+    BOOST_TEST(exchange.counters().messagesOfOtherVersions == 2U);
+    BOOST_TEST(exchange.counters().messagesRejected == 0U);
+    BOOST_TEST(exchange.knownPeerCount() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(MalformedMessagesAreCounted, Single)
+{
+    // Guards against faults of a peer that nobody notices.
+    auto truncated = messageWith({ { Core::VmId { 5 }, 3, observation(Marked) } });
+    truncated.records.pop_back();
+    Messages::LoadReports oddPeers;
+    oddPeers.__set_peers("odd");
+    receive(truncated);
+    receive(oddPeers);
+    receive({});
+    BOOST_TEST(received.empty());
+    BOOST_TEST(exchange.counters().messagesRejected == 2U);
+    BOOST_TEST(exchange.counters().messagesReceived == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(LargeReportIsCutOff, Single)
+{
+    // Guards against datagrams beyond the byte budget when the report has more entries than asked for.
+    for (std::size_t index = 0; index < 1000; ++index)
+        own.upstreams.push_back(observation(ordinaryUpstream(index)));
+    receive({});
+    run(2s);
+    for (auto const& [to, message] : sent)
+        BOOST_TEST(message.records.size() <= 288U);
+    BOOST_TEST(exchange.counters().ownEntriesSent > 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(MisreportedFleetSizeIsBounded, Single)
+{
+    // Guards against a peer that lets the fleet send without limit.
+    Messages::LoadReports message;
+    message.__set_fleetSize(std::numeric_limits<std::int32_t>::max());
+    receive(message);
+    BOOST_TEST(exchange.byteBudget() <= 3000.0);
+    message.__set_fleetSize(std::numeric_limits<std::int32_t>::min());
+    receive(message);
+    clock.advance(1h);
+    BOOST_TEST(exchange.byteBudget() == 900.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(ContactIsAnsweredOnce, Single)
+{
+    // Guards against two balancers that answer each other without end.
+    Messages::LoadReports contact;
+    contact.__set_wantsPeers(true);
+    receive(contact);
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_CHECK(sent[0].first == LoadExchangeFleet::address(2));
+    BOOST_TEST(!sent[0].second.__isset.wantsPeers);
+    receive(sent[0].second);
+    BOOST_TEST(sent.size() == 1U);
+}
+
 BOOST_DATA_TEST_CASE(FewObservationsReachAllWithinTwoSeconds,
     boost::unit_test::data::make(Sizes) * boost::unit_test::data::make(RandomSeeds), size, randomSeed)
 {
@@ -109,7 +250,8 @@
     fleet.run(30s);
     auto traffic = measureTraffic(fleet, 20s);
     BOOST_TEST_MESSAGE(size.balancers << " balancers, busy: " << traffic.meanSent << " B/s sent, middle "
-                                      << traffic.middle << ", busiest " << traffic.busiest);
+                                      << traffic.middle << ", busiest " << traffic.busiest << ", " << traffic.messages
+                                      << " messages and " << traffic.entries << " new entries/s");
     BOOST_TEST(traffic.meanSent <= size.maximumBytesPerSecond);
     BOOST_TEST(traffic.busiest <= 3 * traffic.middle);
 }
--- a/Tests/LibRelay/TestSubscription.cpp
+++ b/Tests/LibRelay/TestSubscription.cpp
@@ -63,27 +63,34 @@
 /// A balancer that keeps a replica of the store.
 struct Node {
     Node(EventLoop::Loop& loop, Core::Clock const& clock, FakeStore& store, Core::Endpoint const& address,
-        std::vector<Core::Endpoint> seeds)
+        std::vector<Core::Endpoint> seeds, bool exchangesLoad = false)
     {
         std::string error;
         Relay::SubscriptionOptions options { .address = address, .seeds = std::move(seeds) };
         options.self = self = Core::VmId { address.port };
         options.incarnation = Core::Incarnation { 1 };
         options.keys.sealing = *Messages::PeerKey::fromHex(std::string(64, 'a'));
-        subscription = Relay::Subscription::create(loop, clock, options,
-            { .callStore = [&store](auto const& request, auto callback) { store.call(request, std::move(callback)); },
-                .itemChanged =
-                    [this, &loop](auto const&) {
-                        ++items;
-                        loop.stop();
-                    },
-                .requestFinished = [] {},
-                .reportReceived =
-                    [this, &loop](auto const& report) {
-                        reported.push_back(report);
-                        loop.stop();
-                    } },
-            error);
+        Relay::SubscriptionHooks hooks { .callStore
+            = [&store](auto const& request, auto callback) { store.call(request, std::move(callback)); },
+            .itemChanged =
+                [this, &loop](auto const&) {
+                    ++items;
+                    loop.stop();
+                },
+            .requestFinished = [] {},
+            .reportReceived =
+                [this, &loop](auto const& report) {
+                    reported.push_back(report);
+                    loop.stop();
+                } };
+        if (exchangesLoad) {
+            hooks.loadReport = [this](auto) { return loadReport; };
+            hooks.loadReportReceived = [this, &loop](auto const& report) {
+                loadReports.push_back(report);
+                loop.stop();
+            };
+        }
+        subscription = Relay::Subscription::create(loop, clock, options, std::move(hooks), error);
         BOOST_REQUIRE_MESSAGE(subscription, error);
     }
 
@@ -91,6 +98,8 @@
     Core::VmId self;
     unsigned items { 0 };
     Relay::Reports reported;
+    Load::LoadReport loadReport;
+    std::vector<Load::LoadReport> loadReports;
 };
 
 }
@@ -229,6 +238,37 @@
     BOOST_TEST(detector.reported.empty());
 }
 
+BOOST_AUTO_TEST_CASE(LoadReportReachesBalancersWithTheHooks)
+{
+    // Guards against reports that are not wired to the messenger, and against traffic of balancers without the hooks.
+    std::string error;
+    auto loop = EventLoop::Loop::create(error);
+    Core::SystemClock clock;
+    FakeStore stores[3];
+    auto address = freePort();
+    Node seed { *loop, clock, stores[0], address, { address }, true };
+    Node reporter { *loop, clock, stores[1], freePort(), { address }, true };
+    Node without { *loop, clock, stores[2], freePort(), { address } };
+    reporter.loadReport.upstreams.push_back({ .upstream = Core::UpstreamId { 7 }, .requestsInFlight = 3 });
+    std::unique_ptr<EventLoop::EventRegistration> timer;
+    timer = loop->timer([&] {
+        for (auto* node : { &seed, &reporter, &without })
+            node->subscription->tick();
+        timer->arm(50ms);
+    });
+    for (auto* node : { &seed, &reporter, &without })
+        node->subscription->start();
+    timer->arm(1ms);
+    while (seed.loadReports.empty())
+        loop->run();
+    BOOST_CHECK(seed.loadReports.front().reporter == reporter.self);
+    BOOST_CHECK(seed.loadReports.front().upstreams == reporter.loadReport.upstreams);
+    BOOST_REQUIRE(seed.subscription->loadExchange());
+    BOOST_TEST(seed.subscription->loadExchange()->counters().messagesReceived > 0U);
+    BOOST_TEST(!without.subscription->loadExchange());
+    BOOST_TEST(without.subscription->messageCounters().sent == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(FollowersOfARefusedReaderFallBackToTheStore)
 {
     // Guards against a fleet that gets no changes because one balancer lost contact with the store.
