LibLoad, LibBalancer: Select upstreams by the speed that their responses show

Cause: opens were spread by own counts per slot, whatever the upstreams' speed. With half of the upstreams four times as slow, a balancer of a fleet of 37 has at most one or two requests in flight at each, so the slow ones got as much as the others. In addition, requests that waited 200 ms at a slow upstream made it count as failing on all balancers for 3 s.

Ruled out: counting the new flow as one ((flows + 1) / (slots * speed)) sends nothing to a slow upstream until each other one has several flows of each balancer. A random fraction of a flow spreads in proportion.

Change: UpstreamSpeed learns the response time relative to the route's usual one, in logarithms, with weights that decay within a second. SharedLoadView decides whether the speeds of a service differ by more than a factor of 1.5; if so, LeastLoadedSelector counts flows per slot and speed. Rejections and late acknowledgements aren't learnt from. Silence is no failure while the upstream's recent responses took half as long.

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -32,8 +32,10 @@
           [this](Core::UpstreamId id) {
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
           })
+    , m_speeds(clock, {})
+    , m_loadView(m_options.loadView, m_directory, m_speeds)
     , m_choice({ .zone = m_options.zone, .randomSeed = m_options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
-          m_failures)
+          m_failures, m_loadView)
     , m_flows(clock, m_options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_random(m_options.randomSeed)
@@ -53,6 +55,7 @@
                         { "incarnation", record.entry.incarnation.value() } });
                 abortFlows(id, "restarted");
                 m_liveness.reset(id);
+                m_speeds.reset(id);
             },
         .unlisted = [this](auto const& record) { handleUnlisted(record); },
         .listedAgain =
@@ -82,7 +85,7 @@
                 if (m_hooks.report)
                     m_hooks.report(id, Load::ReportKind::Unanswered);
             },
-        .stalled = [this](Core::UpstreamId id) { recordFailure(id, "stalled"); },
+        .stalled = [this](Core::UpstreamId id) { handleStall(id); },
         .lost =
             [this](Core::UpstreamId id, Load::SuspicionReason suspicion, Load::LivenessProbeResult probe) {
                 logEvent(Level::Warn, "upstream_lost",
@@ -159,6 +162,9 @@
     if (answer.duration > m_options.lateAnswerLimit)
         m_log.logLateAnswer(key, flow.requestId, nameOf(flow.upstream),
             std::chrono::duration_cast<std::chrono::milliseconds>(answer.duration));
+    bool isShort = m_answerSizes.isShort(key.destination, answer.bytes);
+    if (!isShort && !answer.isAcknowledgedLate)
+        m_speeds.noteResponse(flow.upstream, key.destination, answer.duration);
     if (!m_answerSizes.noteResponse(key.destination, answer.bytes))
         return;
     m_log.logShortAnswer(key, flow.requestId, nameOf(flow.upstream), answer.bytes);
@@ -174,6 +180,12 @@
         m_hooks.report(id, Load::ReportKind::Failing);
 }
 
+void TokenBalancer::handleStall(Core::UpstreamId id)
+{
+    if (!m_loadView.explainsSilence(id, m_options.silenceTimeout))
+        recordFailure(id, "stalled");
+}
+
 std::string TokenBalancer::nameOf(Core::UpstreamId id) const
 {
     auto const* record = m_directory.find(id);
@@ -364,6 +376,7 @@
         m_flows.restartRequestTimers();
     suspectSilentUpstreams();
     m_liveness.tick();
+    m_loadView.tick();
     m_log.logSuppressedLines();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
@@ -372,6 +385,7 @@
     m_directory.sweep();
     m_placer.sweep();
     m_failures.removeExpired();
+    m_speeds.removeExpired();
 }
 
 bool TokenBalancer::canServe() const
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -31,6 +31,7 @@
     std::size_t maximumFlows { 100'000 };
     Directory::DirectoryOptions directory;
     Load::LivenessOptions liveness;
+    Load::SharedLoadViewOptions loadView;
     /// An open that the caller hasn't confirmed within this time makes its upstream suspect. Callers acknowledge the
     /// answer of a responsive upstream after one round trip.
     std::chrono::milliseconds openConfirmationTimeout { 40 };
@@ -114,6 +115,7 @@
     bool acceptsSoon(Core::ServiceId, std::chrono::milliseconds) const;
     void handleAnswer(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenResponse const&);
     void recordFailure(Core::UpstreamId, std::string_view symptom);
+    void handleStall(Core::UpstreamId);
     std::string nameOf(Core::UpstreamId) const;
     std::string nameOf(Core::ZoneId) const;
     void handleUnlisted(Directory::UpstreamRecord const&);
@@ -137,6 +139,8 @@
     Load::ZoneReachability m_zones;
     Load::ShortResponseDetector m_answerSizes { {} };
     Load::RequestFailureDetector m_failures;
+    Load::UpstreamSpeed m_speeds;
+    Load::SharedLoadView m_loadView;
     Load::LeastLoadedSelector m_choice;
     Placement::TokenFlowTable m_flows;
     Placement::TokenPlacer m_placer;
--- a/Libraries/LibLoad/LeastLoadedSelector.cpp
+++ b/Libraries/LibLoad/LeastLoadedSelector.cpp
@@ -7,13 +7,14 @@
 
 LeastLoadedSelector::LeastLoadedSelector(LeastLoadedSelectorOptions options,
     Directory::UpstreamDirectory const& directory, UpstreamLoadCounter const& load, UpstreamLiveness const& liveness,
-    ZoneReachability const& zones, RequestFailureDetector const& failures)
+    ZoneReachability const& zones, RequestFailureDetector const& failures, SharedLoadView const& view)
     : m_options(options)
     , m_directory(directory)
     , m_load(load)
     , m_liveness(liveness)
     , m_zones(zones)
     , m_failureDetector(failures)
+    , m_view(view)
     , m_random(options.randomSeed)
 {
 }
@@ -36,13 +37,14 @@
     Core::ServiceId service, Core::UpstreamId excluded, Liveness worstLiveness, bool isFailingAllowed)
 {
     auto byFlows = [](Candidate const& left, Candidate const& right) {
-        return std::tie(left.flowsPerSlot, left.requestsPerSlot, left.tieBreak)
-            < std::tie(right.flowsPerSlot, right.requestsPerSlot, right.tieBreak);
+        return std::tie(left.flowLoad, left.requestLoad, left.tieBreak)
+            < std::tie(right.flowLoad, right.requestLoad, right.tieBreak);
     };
     auto byRequests = [](Candidate const& left, Candidate const& right) {
-        return std::tie(left.requestsPerSlot, left.flowsPerSlot, left.tieBreak)
-            < std::tie(right.requestsPerSlot, right.flowsPerSlot, right.tieBreak);
+        return std::tie(left.requestLoad, left.flowLoad, left.tieBreak)
+            < std::tie(right.requestLoad, right.flowLoad, right.tieBreak);
     };
+    auto hasEvenSpeeds = m_view.hasEvenSpeeds(service);
     Candidate local;
     Candidate remote;
     for (auto const* record : m_directory.upstreamsOf(service)) {
@@ -51,14 +53,13 @@
             || effectiveLiveness(upstream) > worstLiveness
             || (!isFailingAllowed && m_failureDetector.isFailing(upstream.id)))
             continue;
-        auto next = candidate(*record);
+        auto next = candidate(*record, hasEvenSpeeds);
         bool isLocal = upstream.zone == m_options.zone;
         auto& best = isLocal ? local : remote;
         if (!best.record || (isLocal ? byFlows(next, best) : byRequests(next, best)))
             best = next;
     }
-    bool hasRoom = local.record && local.requestsPerSlot < m_options.spillLoad;
-    if (hasRoom || !remote.record)
+    if (!remote.record || hasRoom(local))
         return local.record;
     return local.record && byRequests(local, remote) ? local.record : remote.record;
 }
@@ -85,12 +86,30 @@
     return m_zones.isReachable(upstream.zone) ? m_liveness.livenessOf(upstream.id) : Liveness::Unreachable;
 }
 
-LeastLoadedSelector::Candidate LeastLoadedSelector::candidate(Directory::UpstreamRecord const& record)
+bool LeastLoadedSelector::hasRoom(Candidate const& candidate) const
+{
+    if (!candidate.record)
+        return false;
+    auto const& upstream = candidate.record->entry.upstream;
+    return m_load.loadOf(upstream.id).requestsInFlight < m_options.spillLoad * std::max(upstream.slots, 1U);
+}
+
+LeastLoadedSelector::Candidate LeastLoadedSelector::candidate(
+    Directory::UpstreamRecord const& record, bool hasEvenSpeeds)
 {
     auto const& upstream = record.entry.upstream;
     auto load = m_load.loadOf(upstream.id);
     auto slots = static_cast<double>(std::max(upstream.slots, 1U));
-    return { &record, load.openFlows / slots, load.requestsInFlight / slots, m_random() };
+    auto random = m_random();
+    if (hasEvenSpeeds)
+        return { &record, load.openFlows / slots, load.requestsInFlight / slots, random };
+    // The new flow counts as a random fraction of one. Otherwise upstreams without flows would all get the same number,
+    // whatever their speed, or the slow ones none; with it, upstreams without flows are chosen in about the proportion
+    // of their speeds, and balancers with the same view choose differently.
+    constexpr double RandomRange = 1.0 / static_cast<double>(std::mt19937_64::max());
+    auto newFlow = static_cast<double>(random) * RandomRange;
+    auto capacity = slots * m_view.speedOf(upstream.id);
+    return { &record, (load.openFlows + newFlow) / capacity, (load.requestsInFlight + newFlow) / capacity, random };
 }
 
 }
--- a/Libraries/LibLoad/LeastLoadedSelector.h
+++ b/Libraries/LibLoad/LeastLoadedSelector.h
@@ -3,6 +3,7 @@
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
 #include <LibLoad/RequestFailureDetector.h>
+#include <LibLoad/SharedLoadView.h>
 #include <LibLoad/UpstreamLiveness.h>
 #include <LibLoad/UpstreamLoadCounter.h>
 #include <LibLoad/ZoneReachability.h>
@@ -21,12 +22,13 @@
     std::uint64_t randomSeed { 0 };
 };
 
-/// Selects the upstream with the fewest flows per slot for a new flow, in the local zone while that has capacity.
-/// Upstreams that fail requests, are suspect or are unreachable come last, in this order. Not thread-safe.
+/// Selects the upstream with the fewest flows per slot for a new flow, in the local zone while that has capacity. Where
+/// the speeds of a service's upstreams differ, a slot counts in proportion to the speed. Upstreams that fail requests,
+/// are suspect or are unreachable come last, in this order. Not thread-safe.
 class LeastLoadedSelector {
 public:
     LeastLoadedSelector(LeastLoadedSelectorOptions, Directory::UpstreamDirectory const&, UpstreamLoadCounter const&,
-        UpstreamLiveness const&, ZoneReachability const&, RequestFailureDetector const&);
+        UpstreamLiveness const&, ZoneReachability const&, RequestFailureDetector const&, SharedLoadView const&);
 
     /// Returns null if no upstream of the service may get a new flow. The excluded upstream is only chosen if there is
     /// no other.
@@ -35,12 +37,14 @@
 private:
     struct Candidate {
         Directory::UpstreamRecord const* record { nullptr };
-        double flowsPerSlot { 0 };
-        double requestsPerSlot { 0 };
+        /// Flows and requests per slot, or per slot and speed where the speeds differ.
+        double flowLoad { 0 };
+        double requestLoad { 0 };
         std::uint64_t tieBreak { 0 };
     };
 
-    Candidate candidate(Directory::UpstreamRecord const&);
+    Candidate candidate(Directory::UpstreamRecord const&, bool hasEvenSpeeds);
+    bool hasRoom(Candidate const&) const;
     Liveness effectiveLiveness(Model::Upstream const&) const;
     Directory::UpstreamRecord const* selectAmong(
         Core::ServiceId, Core::UpstreamId excluded, Liveness worstLiveness, bool isFailingAllowed);
@@ -52,6 +56,7 @@
     UpstreamLiveness const& m_liveness;
     ZoneReachability const& m_zones;
     RequestFailureDetector const& m_failureDetector;
+    SharedLoadView const& m_view;
     std::mt19937_64 m_random;
 };
 
--- a/Libraries/LibLoad/Load.h
+++ b/Libraries/LibLoad/Load.h
@@ -5,10 +5,13 @@
 
 #include <LibLoad/LeastLoadedSelector.h>
 #include <LibLoad/LoadController.h>
+#include <LibLoad/LoadReport.h>
 #include <LibLoad/LoadTypes.h>
 #include <LibLoad/PeerReport.h>
 #include <LibLoad/RequestFailureDetector.h>
+#include <LibLoad/SharedLoadView.h>
 #include <LibLoad/ShortResponseDetector.h>
 #include <LibLoad/UpstreamLiveness.h>
 #include <LibLoad/UpstreamLoadCounter.h>
+#include <LibLoad/UpstreamSpeed.h>
 #include <LibLoad/ZoneReachability.h>
--- a/Libraries/LibLoad/ShortResponseDetector.cpp
+++ b/Libraries/LibLoad/ShortResponseDetector.cpp
@@ -13,8 +13,7 @@
 {
     auto& statistics = m_routes[route];
     auto size = static_cast<double>(std::min(bytes, m_options.maximumBytes));
-    bool isKnown = statistics.responses >= m_options.minimumResponses;
-    bool isShort = isKnown && size < m_options.shortFraction * statistics.meanBytes;
+    bool isShort = this->isShort(statistics, bytes);
     // The first responses have equal weight.
     auto weight = std::max(m_options.sizeWeight, 1.0 / (statistics.responses + 1));
     statistics.responses = std::min(statistics.responses + 1, m_options.minimumResponses);
@@ -25,4 +24,16 @@
     return isShort && statistics.shortRate <= m_options.maximumShortRate;
 }
 
+bool ShortResponseDetector::isShort(Core::Endpoint const& route, std::uint32_t bytes) const
+{
+    auto statistics = m_routes.find(route);
+    return statistics != m_routes.end() && isShort(statistics->second, bytes);
+}
+
+bool ShortResponseDetector::isShort(RouteStatistics const& statistics, std::uint32_t bytes) const
+{
+    bool isKnown = statistics.responses >= m_options.minimumResponses;
+    return isKnown && std::min(bytes, m_options.maximumBytes) < m_options.shortFraction * statistics.meanBytes;
+}
+
 }
--- a/Libraries/LibLoad/ShortResponseDetector.h
+++ b/Libraries/LibLoad/ShortResponseDetector.h
@@ -32,6 +32,9 @@
 
     /// Records a response of the route with this address. Returns whether it is short.
     bool noteResponse(Core::Endpoint const& route, std::uint32_t bytes);
+    /// Whether a response of this size is short, however many of the route's are. An upstream with a full queue rejects
+    /// requests with a short response.
+    bool isShort(Core::Endpoint const& route, std::uint32_t bytes) const;
 
 private:
     struct RouteStatistics {
@@ -40,6 +43,8 @@
         double shortRate { 0 };
     };
 
+    bool isShort(RouteStatistics const&, std::uint32_t bytes) const;
+
     ShortResponseDetectorOptions m_options;
     absl::flat_hash_map<Core::Endpoint, RouteStatistics> m_routes;
 };
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -111,7 +111,7 @@
     if (isProgress) {
         auto bytes = acknowledgement - std::exchange(flow->acknowledgement, acknowledgement);
         if (flow->requestStartedAt)
-            m_hooks.responseStarted(key, *flow, { m_clock.now() - *flow->requestStartedAt, bytes });
+            m_hooks.responseStarted(key, *flow, { m_clock.now() - *flow->requestStartedAt, bytes, packet.length != 0 });
         flow->requestStartedAt.reset();
     }
     auto end = packet.sequence + packet.length;
--- a/Libraries/LibPlacement/TokenFlowTable.h
+++ b/Libraries/LibPlacement/TokenFlowTable.h
@@ -40,6 +40,8 @@
     std::chrono::nanoseconds duration { 0 };
     /// Bytes covered by the first acknowledgement; the whole response if it fits into one packet.
     std::uint32_t bytes { 0 };
+    /// The acknowledgement came with the caller's next request, possibly long after the response.
+    bool isAcknowledgedLate { false };
 };
 
 struct TokenFlowHooks {
--- a/Tests/LibBalancer/TestTokenBalancer.cpp
+++ b/Tests/LibBalancer/TestTokenBalancer.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace Chicorytally;
@@ -247,6 +248,44 @@
     BOOST_TEST(resets.empty());
 }
 
+BOOST_AUTO_TEST_CASE(SlowUpstreamDoesNotCountAsFailing)
+{
+    // Guards against slow upstreams that are avoided for seconds as if they failed, by which the others become slow,
+    // and against upstreams that hang all requests but aren't avoided.
+    std::uint16_t port = 1;
+    auto answer = [&](std::uint16_t flow, Directory::RoutingToken token) {
+        auto acknowledgement = packet(PacketKind::Data, flow);
+        acknowledgement.token = token;
+        acknowledgement.sequence = 101;
+        acknowledgement.acknowledgement = 1001;
+        balancer.decide(acknowledgement);
+    };
+    auto request = [&](std::chrono::milliseconds slowTime) {
+        auto id = openAndRequest(++port);
+        auto token = balancer.directory().find(Core::UpstreamId { id })->token;
+        clock.advance(id == 1 ? slowTime : 20ms);
+        balancer.tick();
+        answer(port, token);
+        return id;
+    };
+    for (int i = 0; i < 60; ++i)
+        request(120ms);
+    auto hang = [&] {
+        while (openAndRequest(++port) != 1)
+            continue;
+        tickFor(250ms);
+        completeProbes(Load::LivenessProbeResult::Answered);
+    };
+    auto failureReports = [&] {
+        return std::ranges::count(reports, std::pair { std::uint64_t { 1 }, Load::ReportKind::Failing });
+    };
+    hang();
+    BOOST_TEST(failureReports() == 0);
+    tickFor(5s);
+    hang();
+    BOOST_TEST(failureReports() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(UnlistedUpstreamThatAnswersKeepsItsFlows)
 {
     // Guards against resetting flows when entries expire because the store, not the upstream, is unreachable.
--- a/Tests/LibLoad/TestLeastLoadedSelector.cpp
+++ b/Tests/LibLoad/TestLeastLoadedSelector.cpp
@@ -1,8 +1,13 @@
+#include "OwnCountSelector.h"
+
 #include <LibLoad/Load.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
+#include <random>
+#include <vector>
 
 using namespace Chicorytally;
 using namespace std::chrono_literals;
@@ -27,8 +32,10 @@
     Load::ZoneReachability zones { clock, {},
         { .probeSample = [this](auto, auto) { return sample; }, .lost = [](auto) {}, .regained = [](auto) {} } };
     Load::RequestFailureDetector failureDetector { clock, { .self = Core::VmId { 1 } }, [](auto) {} };
+    Load::UpstreamSpeed speeds { clock, {} };
+    Load::SharedLoadView view { {}, directory, speeds };
     Load::LeastLoadedSelector selector { { .zone = LocalZone, .randomSeed = 1 }, directory, load, liveness, zones,
-        failureDetector };
+        failureDetector, view };
 
     void fail(std::uint64_t id)
     {
@@ -49,6 +56,17 @@
         directory.applyUpstream(entry);
     }
 
+    /// Learns from ten responses of each upstream that they take this many times as long as those of others.
+    void learnTimes(std::vector<std::pair<std::uint64_t, int>> const& relativeTimes)
+    {
+        auto const route = *Core::Endpoint::parse("198.18.0.1:443");
+        for (int i = 0; i < 20; ++i) {
+            for (auto [id, time] : relativeTimes)
+                speeds.noteResponse(Core::UpstreamId { id }, route, time * 10ms);
+        }
+        view.tick();
+    }
+
     std::uint64_t choose(std::uint64_t excluded = 0)
     {
         auto const* record = selector.choose(Register, Core::UpstreamId { excluded });
@@ -156,4 +174,63 @@
     BOOST_TEST(chosen.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(FlowsFollowTheSpeed)
+{
+    // Guards against upstreams that get as much as others although they take four times as long, and against none at
+    // all for them, by which they couldn't show their recovery.
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        add(id, LocalZone);
+    learnTimes({ { 1, 4 }, { 2, 1 }, { 3, 1 }, { 4, 1 } });
+    auto expected = view.speedOf(Core::UpstreamId { 1 }) / view.speedOf(Core::UpstreamId { 2 });
+    BOOST_TEST(expected < 0.5);
+    // First with flows that end at once, so that all choices are among idle upstreams, then with flows that stay.
+    for (bool isClosed : { true, false }) {
+        std::map<std::uint64_t, double> flows;
+        for (int i = 0; i < 4000; ++i) {
+            auto id = choose();
+            if (!isClosed)
+                load.flowOpened(Core::UpstreamId { id });
+            ++flows[id];
+        }
+        auto ratio = flows[1] / flows[2];
+        BOOST_TEST(ratio > expected / 2);
+        BOOST_TEST(ratio < expected * 1.1);
+        BOOST_TEST(std::abs(flows[3] / flows[2] - 1) < 0.1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(EvenSpeedsDoNotMatter)
+{
+    // Guards against choices that differ from those by own counts alone while the speeds are within a factor of 1.5,
+    // whatever the load, and while the feature is off.
+    Load::OwnCountSelector reference { LocalZone, 1, directory, load };
+    std::mt19937_64 random { 2 };
+    for (std::uint64_t id = 1; id <= 9; ++id)
+        add(id, id <= 5 ? LocalZone : RemoteZone);
+    auto const route = *Core::Endpoint::parse("198.18.0.1:443");
+    std::vector<std::uint64_t> open;
+    std::lognormal_distribution<double> work { 0, 0.5 };
+    for (int i = 0; i < 20'000; ++i) {
+        clock.advance(1ms);
+        auto upstream = random() % 9 + 1;
+        auto time = 10 * work(random) * (upstream % 2 == 0 ? 1.45 : 1) * (random() % 100 < 3 ? 7 : 1);
+        speeds.noteResponse(
+            Core::UpstreamId { upstream }, route, std::chrono::microseconds { std::llround(1000 * time) });
+        if (i % 50 == 0)
+            view.tick();
+        auto id = choose();
+        BOOST_REQUIRE_EQUAL(id, reference.choose(Register)->entry.upstream.id.value());
+        load.flowOpened(Core::UpstreamId { id });
+        load.requestStarted(Core::UpstreamId { id });
+        open.push_back(id);
+        while (!open.empty() && random() % 30 < open.size()) {
+            auto& ended = open[random() % open.size()];
+            load.flowClosed(Core::UpstreamId { ended });
+            load.requestEnded(Core::UpstreamId { ended });
+            std::swap(ended, open.back());
+            open.pop_back();
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
