LibLoad, LibBalancer: Merge load reports of other balancers into the estimated speeds

Cause: a balancer of a fleet of 37 sees about four responses a second of each upstream of its zone, with 300 balancers one; too few to learn a change within 2 s.

Ruled out: the plain mean of all reports (one balancer that misreports by a factor of ten moves it); the median alone (loses precision with few responses of each reporter).

Change: SharedLoadView keeps the last observation of up to 32 balancers of an upstream, dated by age, and merges them: the weighted mean, clipped around the weighted median; no reporter counts more than the others together. TokenBalancer exposes loadReport() and handleLoadReport().

--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -33,7 +33,7 @@
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
           })
     , m_speeds(clock, {})
-    , m_loadView(m_options.loadView, m_directory, m_speeds)
+    , m_loadView(clock, m_options.self, m_options.loadView, m_directory, m_speeds, m_load)
     , m_choice({ .zone = m_options.zone, .randomSeed = m_options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
           m_failures, m_loadView)
     , m_flows(clock, m_options.maximumFlows, flowHooks())
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -91,6 +91,9 @@
     /// Handles another balancer's report. An upstream that didn't answer there is probed from here too, before a
     /// request is lost on it.
     void handlePeerReport(Load::PeerReport const&);
+    /// What this balancer has observed of at most this many upstreams, for the other balancers.
+    Load::LoadReport loadReport(std::size_t maximumUpstreams) const { return m_loadView.report(maximumUpstreams); }
+    void handleLoadReport(Load::LoadReport const& report) { m_loadView.handleReport(report); }
     /// Must be called every 50 ms.
     void tick();
     /// Marks upstreams with overdue answers as suspect. Must be called after each batch of packets; cheap when no
--- a/Libraries/LibLoad/SharedLoadView.h
+++ b/Libraries/LibLoad/SharedLoadView.h
@@ -2,12 +2,16 @@
 
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
+#include <LibLoad/LoadReport.h>
+#include <LibLoad/UpstreamLoadCounter.h>
 #include <LibLoad/UpstreamSpeed.h>
 
 #include <absl/container/flat_hash_map.h>
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
+#include <vector>
 
 namespace Chicorytally::Load {
 
@@ -17,17 +21,48 @@
     /// While the fastest upstream of a service is at most this much faster than the slowest one, their speeds have no
     /// influence: smaller differences arise from the requests that they happen to get.
     double evenSpeedRatio { 1.5 };
+    /// An older observation is discarded. Its response times have less than 3% of their weight by then.
+    std::chrono::milliseconds maximumReportAge { 3000 };
+    /// A reported response counts 1/e of a new one at this age, as an own one does (UpstreamSpeedOptions::smoothing).
+    std::chrono::milliseconds smoothing { 800 };
+    /// Interval between two updates of the speeds. A change must be learnt within 2 s; more often costs needless time.
+    std::chrono::milliseconds refreshInterval { 200 };
+    /// Bounds of the memory for reports: 32 reporters suffice for a mean, and 4,096 upstreams with as many take 8 MB.
+    std::size_t maximumReporters { 32 };
+    std::size_t maximumUpstreams { 4096 };
 };
 
-/// What this balancer knows about the speed and load of upstreams. Not thread-safe.
+/// Merges what this balancer and others have observed of the speed and load of upstreams. Without recent reports it
+/// contains the own observations only. Not thread-safe.
 class SharedLoadView {
 public:
-    SharedLoadView(SharedLoadViewOptions, Directory::UpstreamDirectory const&, UpstreamSpeed const&);
+    struct Counters {
+        std::uint64_t accepted { 0 };
+        /// Observations that were too old, out of order, of a former process, of an unknown upstream or malformed.
+        std::uint64_t rejected { 0 };
+    };
+
+    struct SpeedRange {
+        double slowest { 1 };
+        double fastest { 1 };
+    };
+
+    /// Reports carry the ID of this balancer; those of others with the same ID are ignored.
+    SharedLoadView(Core::Clock const&, Core::VmId self, SharedLoadViewOptions, Directory::UpstreamDirectory const&,
+        UpstreamSpeed const&, UpstreamLoadCounter const&);
+
+    /// Takes over another balancer's report, whose ages contain the time that it spent on the way as far as known.
+    void handleReport(LoadReport const&);
+    /// The own observations of at most this many upstreams. Those whose speed differs most or that have most requests
+    /// in flight come first.
+    LoadReport report(std::size_t maximumUpstreams) const;
 
     /// Updates the speeds that the accessors return. Must be called every 50 ms.
     void tick();
     /// Rate of work relative to the usual one; 1 if unknown.
     double speedOf(Core::UpstreamId) const;
+    /// Requests in flight from this balancer and, where known, from others.
+    double loadOf(Core::UpstreamId) const;
     /// Whether the upstreams of the service don't differ enough in speed for it to matter.
     bool hasEvenSpeeds(Core::ServiceId service) const
     {
@@ -37,18 +72,52 @@
     /// a failure.
     bool explainsSilence(Core::UpstreamId, std::chrono::milliseconds) const;
 
+    /// Speeds of the slowest and fastest upstream.
+    SpeedRange speedRange() const { return m_speedRange; }
+    /// Time since the newest observation of another balancer; unset without one that still counts.
+    std::optional<std::chrono::milliseconds> age() const;
+    std::size_t reportedUpstreamCount() const { return m_observations.size(); }
+    Counters const& counters() const { return m_counters; }
+
 private:
-    struct SpeedRange {
-        double slowest { 1 };
-        double fastest { 1 };
+    /// Last observation of one balancer.
+    struct Observation {
+        Core::VmId reporter;
+        Core::Incarnation incarnation;
+        double requestsInFlight { 0 };
+        SpeedEstimate estimate;
+        Core::TimePoint observedAt;
     };
 
+    /// What is known about an upstream.
+    struct View {
+        SpeedEstimate estimate;
+        double speed { 1 };
+        /// Requests in flight from other balancers.
+        double reportedLoad { 0 };
+    };
+
+    bool record(Core::VmId reporter, UpstreamLoadReport const&);
+    void removeExpired();
+    View merge(Directory::UpstreamRecord const&);
+    void mergeEstimates(View&, SpeedEstimate const& own);
+    void addToRanges(Core::ServiceId, double speed);
+
+    Core::Clock const& m_clock;
+    Core::VmId m_self;
     SharedLoadViewOptions m_options;
     Directory::UpstreamDirectory const& m_directory;
     UpstreamSpeed const& m_ownSpeeds;
-    /// Upstreams whose speed differs from 1.
-    absl::flat_hash_map<Core::UpstreamId, double> m_speeds;
+    UpstreamLoadCounter const& m_ownLoads;
+    absl::flat_hash_map<Core::UpstreamId, std::vector<Observation>> m_observations;
+    absl::flat_hash_map<Core::UpstreamId, View> m_views;
     absl::flat_hash_map<Core::ServiceId, SpeedRange> m_unevenServices;
+    SpeedRange m_speedRange;
+    /// Reported estimates of the upstream that is being merged.
+    std::vector<SpeedEstimate> m_estimates;
+    Core::TimePoint m_refreshedAt;
+    Core::TimePoint m_newestObservation;
+    Counters m_counters;
 };
 
 }
--- a/Libraries/LibLoad/UpstreamLoadCounter.h
+++ b/Libraries/LibLoad/UpstreamLoadCounter.h
@@ -29,6 +29,13 @@
         return load == m_loads.end() ? UpstreamLoad {} : load->second;
     }
 
+    /// Calls the function with the ID and the load of each upstream that has ever had a flow.
+    template <typename Function> void forEach(Function function) const
+    {
+        for (auto const& [upstream, load] : m_loads)
+            function(upstream, load);
+    }
+
 private:
     absl::flat_hash_map<Core::UpstreamId, UpstreamLoad> m_loads;
 };
--- a/Tests/LibLoad/TestLeastLoadedSelector.cpp
+++ b/Tests/LibLoad/TestLeastLoadedSelector.cpp
@@ -33,7 +33,7 @@
         { .probeSample = [this](auto, auto) { return sample; }, .lost = [](auto) {}, .regained = [](auto) {} } };
     Load::RequestFailureDetector failureDetector { clock, { .self = Core::VmId { 1 } }, [](auto) {} };
     Load::UpstreamSpeed speeds { clock, {} };
-    Load::SharedLoadView view { {}, directory, speeds };
+    Load::SharedLoadView view { clock, Core::VmId { 1 }, {}, directory, speeds, load };
     Load::LeastLoadedSelector selector { { .zone = LocalZone, .randomSeed = 1 }, directory, load, liveness, zones,
         failureDetector, view };
 
