--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -33,8 +33,15 @@
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
           })
     , m_returning(clock, m_options.returning, returningHooks())
+    , m_speeds(clock, {})
+    , m_loadView(clock, m_options.self, m_options.loadView, m_directory, m_speeds, m_load)
+    , m_spillover(clock, m_options.spillover,
+          [this](Core::ServiceId service, bool isSpilling) {
+              logEvent(Level::Warn, isSpilling ? "spillover_started" : "spillover_ended",
+                  { { "zone", nameOf(m_options.zone) }, { "service", service.value() } });
+          })
     , m_choice({ .zone = m_options.zone, .randomSeed = m_options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
-          m_failures, m_returning)
+          m_failures, m_returning, m_loadView, m_spillover)
     , m_flows(clock, m_options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_random(m_options.randomSeed)
@@ -58,6 +65,7 @@
                 abortFlows(id, "restarted", m_returning.newProcessSince(id).value_or(Core::TimePoint::max()));
                 m_liveness.reset(id);
                 m_returning.forget(id);
+                m_speeds.reset(id);
             },
         .unlisted = [this](auto const& record) { handleUnlisted(record); },
         .listedAgain =
@@ -88,7 +96,7 @@
                 if (m_hooks.report)
                     m_hooks.report(id, Load::ReportKind::Unanswered);
             },
-        .stalled = [this](Core::UpstreamId id) { recordFailure(id, "stalled"); },
+        .stalled = [this](Core::UpstreamId id) { handleStall(id); },
         .lost =
             [this](Core::UpstreamId id, Load::SuspicionReason suspicion, Load::LivenessProbeResult probe) {
                 logEvent(Level::Warn, "upstream_lost",
@@ -204,6 +212,8 @@
         m_log.logLateAnswer(key, flow.requestId, nameOf(flow.upstream),
             std::chrono::duration_cast<std::chrono::milliseconds>(answer.duration));
     auto size = m_answerSizes.classify(key.destination, answer.bytes);
+    if (size == Load::ResponseSize::Usual)
+        learnSpeed(key, flow, answer);
     if (m_admission)
         m_admission->noteResponse(key, flow, answer, size);
     if (size != Load::ResponseSize::RarelyShort)
@@ -230,6 +240,26 @@
         m_hooks.report(id, Load::ReportKind::Failing);
 }
 
+void TokenBalancer::learnSpeed(
+    Core::FlowKey const& key, Placement::TokenFlow const& flow, Placement::TokenResponse const& answer)
+{
+    // The time to an acknowledgement with the next request is not the upstream's.
+    if (answer.isAcknowledgedLate)
+        return;
+    m_speeds.noteResponse(flow.upstream, key.destination, answer.duration);
+    auto const* route = m_directory.findRoute(key.destination);
+    auto const* record = m_directory.find(flow.upstream);
+    if (route && route->goal && record)
+        m_spillover.noteResponse(
+            record->entry.service, record->entry.upstream.zone == m_options.zone, answer.duration, *route->goal);
+}
+
+void TokenBalancer::handleStall(Core::UpstreamId id)
+{
+    if (!m_loadView.explainsSilence(id, m_options.silenceTimeout))
+        recordFailure(id, "stalled");
+}
+
 std::string TokenBalancer::nameOf(Core::UpstreamId id) const
 {
     auto const* record = m_directory.find(id);
@@ -433,6 +463,8 @@
     m_returning.tick();
     if (m_admission)
         m_admission->tick();
+    m_loadView.tick();
+    m_spillover.tick();
     m_log.logSuppressedLines();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
@@ -442,6 +474,7 @@
     m_placer.sweep();
     m_failures.removeExpired();
     m_returning.removeExpired();
+    m_speeds.removeExpired();
 }
 
 bool TokenBalancer::canServe() const
--- a/Libraries/LibBalancer/TokenBalancer.h
+++ b/Libraries/LibBalancer/TokenBalancer.h
@@ -35,6 +35,10 @@
     Load::ReturningUpstreamsOptions returning;
     /// Unset: every open is admitted while there is an upstream.
     std::optional<Load::AdmissionOptions> admission { std::in_place };
+    /// Whether the speed of upstreams influences the choice.
+    Load::SharedLoadViewOptions loadView;
+    /// Whether opens spill over to other zones when the local upstreams are slow.
+    Load::SpilloverOptions spillover;
     /// An open that the caller hasn't confirmed within this time makes its upstream suspect. Callers acknowledge the
     /// answer of a responsive upstream after one round trip.
     std::chrono::milliseconds openConfirmationTimeout { 40 };
@@ -94,6 +98,9 @@
     /// Handles another balancer's report. An upstream that didn't answer there is probed from here too, before a
     /// request is lost on it.
     void handlePeerReport(Load::PeerReport const&);
+    /// What this balancer has observed of at most this many upstreams, for the other balancers.
+    Load::LoadReport loadReport(std::size_t maximumUpstreams) const { return m_loadView.report(maximumUpstreams); }
+    void handleLoadReport(Load::LoadReport const& report) { m_loadView.handleReport(report); }
     /// Must be called every 50 ms.
     void tick();
     /// Marks upstreams with overdue answers as suspect. Must be called after each batch of packets; cheap when no
@@ -108,6 +115,9 @@
     std::size_t unreachableCount() const { return m_liveness.unreachableCount(); }
     std::size_t lostZoneCount() const { return m_zones.lostCount(); }
     std::size_t failingCount() const { return m_failures.failingCount(); }
+    std::size_t spillingCount() const { return m_spillover.spillingCount(); }
+    Load::SharedLoadView const& loadView() const { return m_loadView; }
+    Load::SelectorCounters const& selectorCounters() const { return m_choice.counters(); }
 
 private:
     Directory::DirectoryHooks directoryHooks();
@@ -120,6 +130,8 @@
     void handleAnswer(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenResponse const&);
     void recordReturn(Core::UpstreamId);
     void recordFailure(Core::UpstreamId, std::string_view symptom);
+    void handleStall(Core::UpstreamId);
+    void learnSpeed(Core::FlowKey const&, Placement::TokenFlow const&, Placement::TokenResponse const&);
     std::string nameOf(Core::UpstreamId) const;
     std::string nameOf(Core::ZoneId) const;
     void handleUnlisted(Directory::UpstreamRecord const&);
@@ -144,6 +156,9 @@
     Load::ShortResponseDetector m_answerSizes { {} };
     Load::RequestFailureDetector m_failures;
     Load::ReturningUpstreams m_returning;
+    Load::UpstreamSpeed m_speeds;
+    Load::SharedLoadView m_loadView;
+    Load::SpilloverControl m_spillover;
     Load::LeastLoadedSelector m_choice;
     /// Unset if admission control is turned off.
     std::optional<AdmissionFilter> m_admission;
--- a/Libraries/LibLoad/ShortResponseDetector.h
+++ b/Libraries/LibLoad/ShortResponseDetector.h
@@ -53,6 +53,8 @@
         double shortRate { 0 };
     };
 
+    bool isShort(RouteStatistics const&, std::uint32_t bytes) const;
+
     ShortResponseDetectorOptions m_options;
     absl::flat_hash_map<Core::Endpoint, RouteStatistics> m_routes;
 };
