--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -1,5 +1,7 @@
 #include <platform/NodeSettings.h>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <nlohmann/json.hpp>
@@ -63,15 +65,32 @@
     BOOST_TEST(error.find("listen.ready") != std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(AdmissionControlCanBeTurnedOff)
+struct SwitchCase {
+    char const* variable;
+    std::string Platform::FeatureSwitches::*text;
+    bool Platform::NodeSettings::*isEnabled;
+};
+
+std::ostream& operator<<(std::ostream& stream, SwitchCase const& testCase) { return stream << testCase.variable; }
+
+SwitchCase const Switches[] {
+    { "CHICORYTALLY_ADMISSION_CONTROL", &Platform::FeatureSwitches::admissionControl,
+        &Platform::NodeSettings::isAdmissionControlEnabled },
+    { "CHICORYTALLY_LOAD_VIEW", &Platform::FeatureSwitches::loadView, &Platform::NodeSettings::isLoadViewEnabled },
+};
+
+BOOST_DATA_TEST_CASE(FeatureCanBeTurnedOff, boost::unit_test::data::make(Switches), testCase)
 {
-    // Guards against a misspelt switch that leaves admission control in the wrong state.
+    // Guards against a misspelt switch that leaves a feature in the wrong state.
     std::string error;
     auto text = validSettings().dump();
-    BOOST_TEST(Platform::parseNodeSettings(text, PeerKey, error).value().isAdmissionControlEnabled);
-    BOOST_TEST(!Platform::parseNodeSettings(text, PeerKey, error, "off").value().isAdmissionControlEnabled);
-    BOOST_TEST(!Platform::parseNodeSettings(text, PeerKey, error, "no").has_value());
-    BOOST_TEST(error.find("CHICORYTALLY_ADMISSION_CONTROL") != std::string::npos);
+    Platform::FeatureSwitches switches;
+    BOOST_TEST(Platform::parseNodeSettings(text, PeerKey, error, switches).value().*testCase.isEnabled);
+    switches.*testCase.text = "off";
+    BOOST_TEST(!(Platform::parseNodeSettings(text, PeerKey, error, switches).value().*testCase.isEnabled));
+    switches.*testCase.text = "no";
+    BOOST_TEST(!Platform::parseNodeSettings(text, PeerKey, error, switches).has_value());
+    BOOST_TEST(error.find(testCase.variable) != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
