--- a/Libraries/LibLoad/AdmissionController.cpp
+++ b/Libraries/LibLoad/AdmissionController.cpp
@@ -45,10 +45,10 @@
     return "unknown";
 }
 
-AdmissionController::Service::Service(Core::Clock const& clock, CapacityEstimator capacity, Core::ServiceId serviceId,
-    std::vector<Directory::Priority> sortedPriorities)
+AdmissionController::Service::Service(Core::Clock const& clock, CapacityEstimator const& capacity,
+    Core::ServiceId serviceId, std::vector<Directory::Priority> sortedPriorities)
     : id(serviceId)
-    , estimator(std::move(capacity))
+    , estimator(capacity)
     , priorities(std::move(sortedPriorities))
     , shares(clock, priorities.size())
 {
@@ -66,8 +66,8 @@
     : m_clock(clock)
     , m_options(options)
     , m_hooks(std::move(hooks))
-    , m_callers(clock, options.maximumCallers)
-    , m_refusedOpens(clock, options.maximumRefusedOpens)
+    , m_callers(m_clock, options.maximumCallers)
+    , m_refusedOpens(m_clock, options.maximumRefusedOpens)
     , m_lastDivision(clock.now())
     , m_lastLearning(clock.now())
 {
@@ -75,6 +75,7 @@
 
 void AdmissionController::configure(Directory::RouteTable const& table)
 {
+    m_clock.update();
     Priorities priorities;
     for (auto const& [address, route] : table.routes) {
         for (auto const& entry : route.services) {
@@ -84,7 +85,7 @@
     }
     for (auto& [service, list] : priorities) {
         std::ranges::sort(list);
-        list.erase(std::ranges::unique(list).begin(), list.end());
+        list.erase(std::unique(list.begin(), list.end()), list.end());
     }
     absl::erase_if(priorities, [](auto const& entry) { return entry.second.size() < 2; });
     configureServices(priorities);
@@ -107,7 +108,7 @@
         if (service && service->priorities == list)
             continue;
         auto estimator = service ? service->estimator : CapacityEstimator { m_clock, m_options.estimator };
-        auto changed = std::make_unique<Service>(m_clock, std::move(estimator), id, list);
+        auto changed = std::make_unique<Service>(m_clock, estimator, id, list);
         changed->isContended = service && service->isContended;
         service = std::move(changed);
     }
@@ -153,11 +154,15 @@
 
 Admission AdmissionController::admit(Core::ServiceId id, Core::FlowKey const& flow, std::uint32_t sequence)
 {
-    auto [route, target] = find(id, flow.destination);
+    auto found = find(id, flow.destination);
+    auto* route = found.first;
+    auto const* target = found.second;
     if (!target)
         return Admission::Admitted;
     auto& service = *target->service;
     auto limit = service.estimator.limit();
+    if (limit)
+        m_clock.update();
     auto count = [route](Admission outcome) {
         ++route->counters->offered;
         ++route->counters->outcomes[static_cast<std::size_t>(outcome)];
@@ -243,6 +248,7 @@
     service.shares.noteDemand(target->rank, 1);
     if (!service.estimator.limit())
         return;
+    m_clock.update();
     auto const& rank = service.ranks[target->rank];
     service.shares.charge(target->rank, 1);
     auto& caller = m_callers.find(rank.group, flow.source.address, rank.openCost);
@@ -273,6 +279,7 @@
 
 void AdmissionController::tick()
 {
+    m_clock.update();
     std::chrono::duration<double> elapsed = m_clock.now() - m_lastDivision;
     bool isDivisionDue = elapsed >= DivisionInterval;
     if (isDivisionDue)
--- a/Libraries/LibLoad/AdmissionController.h
+++ b/Libraries/LibLoad/AdmissionController.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Core.h>
 #include <LibDirectory/Directory.h>
+#include <LibLoad/CachedClock.h>
 #include <LibLoad/CallerShares.h>
 #include <LibLoad/CapacityEstimator.h>
 #include <LibLoad/PriorityShares.h>
@@ -124,7 +125,7 @@
     };
 
     struct Service {
-        Service(Core::Clock const&, CapacityEstimator, Core::ServiceId, std::vector<Directory::Priority>);
+        Service(Core::Clock const&, CapacityEstimator const&, Core::ServiceId, std::vector<Directory::Priority>);
         std::size_t rankOf(Directory::Priority) const;
 
         Core::ServiceId id;
@@ -164,7 +165,7 @@
     void divideCapacity(Service&, double seconds);
     Contention describe(Service const&) const;
 
-    Core::Clock const& m_clock;
+    CachedClock m_clock;
     AdmissionOptions m_options;
     AdmissionHooks m_hooks;
     absl::flat_hash_map<Core::ServiceId, std::unique_ptr<Service>> m_services;
--- a/Libraries/LibLoad/CallerShares.cpp
+++ b/Libraries/LibLoad/CallerShares.cpp
@@ -20,7 +20,9 @@
 CallerShares::CallerShares(Core::Clock const& clock, std::size_t maximumCallers)
     : m_clock(clock)
     , m_callers(std::bit_ceil(std::max(maximumCallers, Ways)))
+    , m_groups(m_callers.size())
 {
+    m_members.reserve(m_callers.size());
 }
 
 static std::uint64_t keyOf(CallerShares::Group group, Core::IpAddress const& address)
@@ -58,7 +60,8 @@
             ++m_evictions;
         static constexpr double FractionScale = 1.0 / 4294967296.0;
         auto fraction = static_cast<double>(key >> 32) * FractionScale;
-        caller = { .key = key, .group = group, .credit = static_cast<float>(fraction * openCost) };
+        caller = { .key = key, .credit = static_cast<float>(fraction * openCost) };
+        m_groups[static_cast<std::size_t>(&caller - m_callers.data())] = group;
     }
     caller.lastOpen = m_clock.now();
     return caller;
@@ -75,30 +78,36 @@
     return static_cast<float>(MaximumSavedOpens * (openCost + caller.used));
 }
 
+void CallerShares::collectMembers(Group group)
+{
+    m_members.clear();
+    for (std::size_t i = 0; i < m_callers.size(); ++i) {
+        if (m_groups[i] == group && isActive(m_callers[i]))
+            m_members.push_back(&m_callers[i]);
+    }
+}
+
 double CallerShares::grant(Group group, double requests, double openCost)
 {
+    collectMembers(group);
     for (int round = 0; round < GrantRounds && requests > 0; ++round) {
-        std::size_t receivers = 0;
-        for (auto const& caller : m_callers) {
-            bool isMember = caller.group == group && isActive(caller);
-            receivers += isMember && caller.credit < maximumCredit(caller, openCost) ? 1 : 0;
-        }
+        auto canReceive
+            = [openCost](Caller const* caller) { return caller->credit < maximumCredit(*caller, openCost); };
+        auto receivers = std::ranges::count_if(m_members, canReceive);
         if (receivers == 0)
             break;
         auto share = static_cast<float>(requests / static_cast<double>(receivers));
         requests = 0;
-        for (auto& caller : m_callers) {
-            if (caller.group != group || !isActive(caller))
-                continue;
-            auto maximum = maximumCredit(caller, openCost);
-            if (caller.credit >= maximum)
+        for (auto* caller : m_members) {
+            if (!canReceive(caller))
                 continue;
-            requests += std::max(0.0F, caller.credit + share - maximum);
-            caller.credit = std::min(caller.credit + share, maximum);
+            auto maximum = maximumCredit(*caller, openCost);
+            requests += std::max(0.0F, caller->credit + share - maximum);
+            caller->credit = std::min(caller->credit + share, maximum);
         }
     }
-    for (auto& caller : m_callers)
-        caller.used = caller.group == group ? 0 : caller.used;
+    for (auto* caller : m_members)
+        caller->used = 0;
     return requests;
 }
 
--- a/Libraries/LibLoad/CallerShares.h
+++ b/Libraries/LibLoad/CallerShares.h
@@ -19,7 +19,6 @@
     struct Caller {
         /// Hash of the group and the address; 0 if the entry is unused.
         std::uint64_t key { 0 };
-        Group group { 0 };
         /// Requests that the caller may start now.
         float credit { 0 };
         /// Requests charged since capacity was last divided.
@@ -45,9 +44,14 @@
     bool isActive(Caller const&) const;
     static float maximumCredit(Caller const&, double openCost);
     Caller& slotFor(std::uint64_t key);
+    void collectMembers(Group);
 
     Core::Clock const& m_clock;
     std::vector<Caller> m_callers;
+    /// Group of each entry, apart from it, so that the members of a group are found fast.
+    std::vector<Group> m_groups;
+    /// Active members of the group whose capacity is divided.
+    std::vector<Caller*> m_members;
     std::uint64_t m_evictions { 0 };
 };
 
