--- a/Benchmarks/Selection/SelectionBenchmark.cpp
+++ b/Benchmarks/Selection/SelectionBenchmark.cpp
@@ -48,8 +48,9 @@
     Load::UpstreamSpeed speeds { clock, {} };
     Load::SharedLoadView view { clock, Core::VmId { 1 }, {}, directory, speeds, load };
     Load::SpilloverControl spillover { clock, {}, {} };
+    Load::ReturningUpstreams returning { clock, {}, {} };
     Load::LeastLoadedSelector selector { { .zone = Core::ZoneId { 1 } }, directory, load, liveness, zones, failures,
-        view, spillover };
+        returning, view, spillover };
 
     explicit Selection(std::uint64_t seed)
     {
@@ -103,7 +104,7 @@
     Selection uneven { absl::GetFlag(FLAGS_seed) };
     even.learn(1);
     uneven.learn(4);
-    if (!even.view.hasEvenSpeeds(even.service) || uneven.view.hasEvenSpeeds(uneven.service))
+    if (even.view.flowLoads(even.service) || !uneven.view.flowLoads(uneven.service))
         std::abort();
     auto allocations = s_allocations;
     auto evenTime = even.measure();
--- a/Tests/LibLoad/LoadFleet.h
+++ b/Tests/LibLoad/LoadFleet.h
@@ -81,6 +81,7 @@
         UpstreamSpeed speeds;
         SharedLoadView view;
         SpilloverControl spillover;
+        ReturningUpstreams returning;
         LeastLoadedSelector selector;
         OwnCountSelector ownCounts;
     };
