--- a/Libraries/LibLoad/SharedLoadView.cpp
+++ b/Libraries/LibLoad/SharedLoadView.cpp
@@ -237,12 +237,6 @@
     return view == m_views.end() ? 1 : view->second.speed;
 }
 
-double SharedLoadView::preferenceOf(Core::UpstreamId id) const
-{
-    auto view = m_views.find(id);
-    return view == m_views.end() ? 1 : view->second.preference;
-}
-
 double SharedLoadView::loadOf(Core::UpstreamId id) const
 {
     auto view = m_views.find(id);
--- a/Libraries/LibLoad/SharedLoadView.h
+++ b/Libraries/LibLoad/SharedLoadView.h
@@ -104,7 +104,6 @@
     struct View {
         SpeedEstimate estimate;
         double speed { 1 };
-        double preference { 1 };
         /// Requests in flight from other balancers.
         double reportedLoad { 0 };
     };
