--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -85,7 +85,7 @@
     std::string error;
     auto text = validSettings().dump();
     Platform::FeatureSwitches switches;
-    BOOST_TEST(Platform::parseNodeSettings(text, PeerKey, error, switches).value().*testCase.isEnabled);
+    BOOST_TEST((Platform::parseNodeSettings(text, PeerKey, error, switches).value().*testCase.isEnabled));
     switches.*testCase.text = "off";
     BOOST_TEST(!(Platform::parseNodeSettings(text, PeerKey, error, switches).value().*testCase.isEnabled));
     switches.*testCase.text = "no";
