--- a/Tests/LibLoad/TestLoadDecisions.cpp
+++ b/Tests/LibLoad/TestLoadDecisions.cpp
@@ -46,8 +46,8 @@
 /// Each combination runs once, whatever the number of tests that look at it.
 Load::FleetResult const& resultOf(Scenario const& scenario, std::size_t balancers, Policy policy)
 {
-    static std::map<std::tuple<std::string, std::size_t, Policy>, Load::FleetResult> results;
-    auto [position, isNew] = results.try_emplace({ scenario.name, balancers, policy });
+    static std::map<std::tuple<std::string, std::size_t, Policy>, Load::FleetResult> s_results;
+    auto [position, isNew] = s_results.try_emplace({ scenario.name, balancers, policy });
     if (isNew) {
         auto options = scenario.options;
         options.balancers = balancers;
