--- a/Libraries/LibBalancer/TokenBalancer.cpp
+++ b/Libraries/LibBalancer/TokenBalancer.cpp
@@ -33,14 +33,23 @@
               logEvent(Level::Warn, "upstream_failing", { { "upstream", nameOf(id) } });
           })
     , m_returning(clock, m_options.returning, returningHooks())
+    , m_speeds(clock, {})
+    , m_loadView(clock, m_options.self, m_options.loadView, m_directory, m_speeds, m_load)
+    , m_spillover(clock, m_options.spillover,
+          [this](Core::ServiceId service, bool isSpilling) {
+              logEvent(Level::Warn, isSpilling ? "spillover_started" : "spillover_ended",
+                  { { "zone", nameOf(m_options.zone) }, { "service", service.value() } });
+          })
     , m_choice({ .zone = m_options.zone, .randomSeed = m_options.randomSeed }, m_directory, m_load, m_liveness, m_zones,
-          m_failures, m_returning)
+          m_failures, m_returning, m_loadView, m_spillover)
     , m_flows(clock, m_options.maximumFlows, flowHooks())
     , m_placer(clock, {}, m_directory, m_flows, placerHooks())
     , m_random(m_options.randomSeed)
     , m_lastTick(clock.now())
     , m_lastSweep(clock.now())
 {
+    if (m_options.admission)
+        m_admission.emplace(clock, *m_options.admission, m_directory, metrics);
 }
 
 Directory::DirectoryHooks TokenBalancer::directoryHooks()
@@ -56,6 +65,7 @@
                 abortFlows(id, "restarted", m_returning.newProcessSince(id).value_or(Core::TimePoint::max()));
                 m_liveness.reset(id);
                 m_returning.forget(id);
+                m_speeds.reset(id);
             },
         .unlisted = [this](auto const& record) { handleUnlisted(record); },
         .listedAgain =
@@ -86,7 +96,7 @@
                 if (m_hooks.report)
                     m_hooks.report(id, Load::ReportKind::Unanswered);
             },
-        .stalled = [this](Core::UpstreamId id) { recordFailure(id, "stalled"); },
+        .stalled = [this](Core::UpstreamId id) { handleStall(id); },
         .lost =
             [this](Core::UpstreamId id, Load::SuspicionReason suspicion, Load::LivenessProbeResult probe) {
                 logEvent(Level::Warn, "upstream_lost",
@@ -149,7 +159,12 @@
     return {
         .opened = [this](Core::UpstreamId id) { m_load.flowOpened(id); },
         .closed = [this](Core::UpstreamId id) { m_load.flowClosed(id); },
-        .requestStarted = [this](Core::UpstreamId id) { m_load.requestStarted(id); },
+        .requestStarted =
+            [this](auto const& key, auto const& flow) {
+                m_load.requestStarted(flow.upstream);
+                if (m_admission)
+                    m_admission->noteRequest(key, flow);
+            },
         .responseStarted
         = [this](auto const& key, auto const& flow, auto const& answer) { handleAnswer(key, flow, answer); },
         .requestDropped = [this](Core::UpstreamId id) { m_load.requestEnded(id); },
@@ -159,6 +174,10 @@
 Placement::TokenPlacerHooks TokenBalancer::placerHooks()
 {
     return {
+        .refusalOf =
+            [this](Core::ServiceId service, Placement::TokenPacket const& packet) {
+                return m_admission ? m_admission->refusalOf(service, packet) : std::string_view {};
+            },
         .choose
         = [this](Core::ServiceId service, Core::UpstreamId excluded) { return m_choice.choose(service, excluded); },
         .acceptsSoon
@@ -192,7 +211,12 @@
     if (answer.duration > m_options.lateAnswerLimit)
         m_log.logLateAnswer(key, flow.requestId, nameOf(flow.upstream),
             std::chrono::duration_cast<std::chrono::milliseconds>(answer.duration));
-    if (!m_answerSizes.noteResponse(key.destination, answer.bytes))
+    auto size = m_answerSizes.classify(key.destination, answer.bytes);
+    if (size == Load::ResponseSize::Usual)
+        learnSpeed(key, flow, answer);
+    if (m_admission)
+        m_admission->noteResponse(key, flow, answer, size);
+    if (size != Load::ResponseSize::RarelyShort)
         return;
     m_log.logShortAnswer(key, flow.requestId, nameOf(flow.upstream), answer.bytes);
     recordFailure(flow.upstream, "short_answer");
@@ -216,6 +240,26 @@
         m_hooks.report(id, Load::ReportKind::Failing);
 }
 
+void TokenBalancer::learnSpeed(
+    Core::FlowKey const& key, Placement::TokenFlow const& flow, Placement::TokenResponse const& answer)
+{
+    // The time to an acknowledgement with the next request is not the upstream's.
+    if (answer.isAcknowledgedLate)
+        return;
+    m_speeds.noteResponse(flow.upstream, key.destination, answer.duration);
+    auto const* route = m_directory.findRoute(key.destination);
+    auto const* record = m_directory.find(flow.upstream);
+    if (route && route->goal && record)
+        m_spillover.noteResponse(
+            record->entry.service, record->entry.upstream.zone == m_options.zone, answer.duration, *route->goal);
+}
+
+void TokenBalancer::handleStall(Core::UpstreamId id)
+{
+    if (!m_loadView.explainsSilence(id, m_options.silenceTimeout))
+        recordFailure(id, "stalled");
+}
+
 std::string TokenBalancer::nameOf(Core::UpstreamId id) const
 {
     auto const* record = m_directory.find(id);
@@ -244,10 +288,12 @@
     auto previousVersion = m_directory.version();
     auto version = table.version;
     auto routes = table.routes.size();
-    if (m_directory.applyRoutes(std::move(table)))
+    if (m_directory.applyRoutes(std::move(table))) {
         logEvent(Level::Info, "routes_applied",
             { { "version", version }, { "former", previousVersion }, { "routes", routes } });
-    else
+        if (m_admission)
+            m_admission->applyRoutes(m_directory.routes());
+    } else
         logEvent(Level::Warn, "routes_ignored", { { "version", version }, { "in_force", previousVersion } });
 }
 
@@ -415,6 +461,10 @@
     if (auto age = m_hooks.viewAge())
         m_returning.noteSynchronised(m_clock.now() - *age);
     m_returning.tick();
+    if (m_admission)
+        m_admission->tick();
+    m_loadView.tick();
+    m_spillover.tick();
     m_log.logSuppressedLines();
     if (m_clock.now() - m_lastSweep < SweepInterval)
         return;
@@ -424,6 +474,7 @@
     m_placer.sweep();
     m_failures.removeExpired();
     m_returning.removeExpired();
+    m_speeds.removeExpired();
 }
 
 bool TokenBalancer::canServe() const
--- a/Libraries/LibLoad/ShortResponseDetector.cpp
+++ b/Libraries/LibLoad/ShortResponseDetector.cpp
@@ -9,12 +9,11 @@
 {
 }
 
-bool ShortResponseDetector::noteResponse(Core::Endpoint const& route, std::uint32_t bytes)
+ResponseSize ShortResponseDetector::classify(Core::Endpoint const& route, std::uint32_t bytes)
 {
     auto& statistics = m_routes[route];
     auto size = static_cast<double>(std::min(bytes, m_options.maximumBytes));
-    bool isKnown = statistics.responses >= m_options.minimumResponses;
-    bool isShort = isKnown && size < m_options.shortFraction * statistics.meanBytes;
+    bool isShort = this->isShort(statistics, bytes);
     // The first responses have equal weight.
     auto weight = std::max(m_options.sizeWeight, 1.0 / (statistics.responses + 1));
     statistics.responses = std::min(statistics.responses + 1, m_options.minimumResponses);
@@ -22,7 +21,15 @@
     // Short responses are left out of the mean; otherwise a series of errors would lower it until they look normal.
     if (!isShort)
         statistics.meanBytes += weight * (size - statistics.meanBytes);
-    return isShort && statistics.shortRate <= m_options.maximumShortRate;
+    if (!isShort)
+        return ResponseSize::Usual;
+    return statistics.shortRate <= m_options.maximumShortRate ? ResponseSize::RarelyShort : ResponseSize::OftenShort;
+}
+
+bool ShortResponseDetector::isShort(RouteStatistics const& statistics, std::uint32_t bytes) const
+{
+    bool isKnown = statistics.responses >= m_options.minimumResponses;
+    return isKnown && std::min(bytes, m_options.maximumBytes) < m_options.shortFraction * statistics.meanBytes;
 }
 
 }
--- a/Libraries/LibPlacement/TokenFlowTable.cpp
+++ b/Libraries/LibPlacement/TokenFlowTable.cpp
@@ -60,6 +60,7 @@
         moveTo(*flow, upstream);
     auto now = m_clock.now();
     flow->openedAt = now;
+    flow->isOpenSeen = true;
     flow->lastPacketAt = now;
     m_openChecks.push_back({ key, now });
     m_lastOpens.insert_or_assign(key.source.address, key);
@@ -112,7 +113,7 @@
     if (isProgress) {
         auto bytes = acknowledgement - std::exchange(flow->acknowledgement, acknowledgement);
         if (flow->requestStartedAt)
-            m_hooks.responseStarted(key, *flow, { m_clock.now() - *flow->requestStartedAt, bytes });
+            m_hooks.responseStarted(key, *flow, { m_clock.now() - *flow->requestStartedAt, bytes, packet.length != 0 });
         flow->requestStartedAt.reset();
     }
     auto end = packet.sequence + packet.length;
@@ -131,7 +132,7 @@
     flow.requestStartedAt = now;
     flow.requestId = packet.requestId;
     m_requestChecks.push_back({ packet.flow, now });
-    m_hooks.requestStarted(flow.upstream);
+    m_hooks.requestStarted(packet.flow, flow);
 }
 
 void TokenFlowTable::close(Core::FlowKey const& key)
