Benchmarks: Share the counter of allocations

Cause: three benchmarks replaced operator new, each with a copy of the same code; two of the copies came with admission control and the load view.

Ruled out: counting in the report library, since a program that links it may replace operator new itself.

Change: Benchmarks/Allocations counts calls and bytes for all four programs.

--- a/Benchmarks/Admission/AdmissionBenchmark.cpp
+++ b/Benchmarks/Admission/AdmissionBenchmark.cpp
@@ -1,3 +1,4 @@
+#include <Allocations/AllocationCounter.h>
 #include <LibLoad/Load.h>
 #include <Report/FigureReport.h>
 
@@ -6,9 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
-#include <malloc.h>
-#include <new>
 #include <random>
 #include <thread>
 #include <utility>
@@ -16,28 +14,6 @@
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the flows");
 
-static std::size_t s_allocations = 0;
-static std::size_t s_allocatedBytes = 0;
-
-// Counts what this program allocates; it has one thread.
-void* operator new(std::size_t size)
-{
-    auto* memory = std::malloc(size);
-    if (!memory)
-        throw std::bad_alloc {};
-    ++s_allocations;
-    s_allocatedBytes += malloc_usable_size(memory);
-    return memory;
-}
-
-void operator delete(void* memory) noexcept
-{
-    s_allocatedBytes -= malloc_usable_size(memory);
-    std::free(memory);
-}
-
-void operator delete(void* memory, std::size_t) noexcept { operator delete(memory); }
-
 namespace Chicorytally::Benchmarks {
 
 using namespace std::chrono_literals;
@@ -117,17 +93,17 @@
 {
     auto flows = makeFlows();
     Core::SystemClock systemClock;
-    auto before = s_allocatedBytes;
+    auto before = allocatedBytes();
     Load::AdmissionController idle { systemClock, {}, { .upstreamCount = [](auto) { return 120U; } } };
     idle.configure(makeRoutes());
-    auto bytes = s_allocatedBytes - before;
+    auto bytes = allocatedBytes() - before;
     Load::AdmissionController contended { systemClock, {}, { .upstreamCount = [](auto) { return 120U; } } };
     contended.configure(makeRoutes());
     overload(contended, flows.front().destination);
     if (contended.contendedCount() != 1)
         return 1;
 
-    auto allocations = s_allocations;
+    auto allocations = allocationCount();
     std::uint64_t refused = 0;
     std::uint64_t refusedBefore = 0;
     auto always = [] { return true; };
@@ -145,7 +121,7 @@
         });
     auto requestTime = fastestBatch(
         flows, [&](auto const& flow, auto) { contended.noteRequest(Service, flow, 5s); }, always);
-    allocations = s_allocations - allocations;
+    allocations = allocationCount() - allocations;
     std::uint64_t reads = 0;
     auto clockTime = fastestBatch(
         flows, [&](auto const&, auto) { reads += systemClock.now().time_since_epoch().count() != 0 ? 1 : 0; }, always);
--- a/Benchmarks/Decision/DecisionBenchmark.cpp
+++ b/Benchmarks/Decision/DecisionBenchmark.cpp
@@ -1,3 +1,4 @@
+#include <Allocations/AllocationCounter.h>
 #include <Harness/Sites.h>
 #include <LibPlacement/BucketState.h>
 #include <LibPlacement/Placement.h>
@@ -8,35 +9,11 @@
 #include <absl/flags/parse.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <malloc.h>
-#include <new>
 #include <random>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the flows and of the order of packets");
 
-static std::size_t s_allocations = 0;
-static std::size_t s_allocatedBytes = 0;
-static std::size_t s_roundAllocations = 0;
-
-// Counts what this program allocates; it has one thread.
-void* operator new(std::size_t size)
-{
-    auto* memory = std::malloc(size);
-    if (!memory)
-        throw std::bad_alloc {};
-    ++s_allocations;
-    s_allocatedBytes += malloc_usable_size(memory);
-    return memory;
-}
-
-void operator delete(void* memory) noexcept
-{
-    s_allocatedBytes -= malloc_usable_size(memory);
-    std::free(memory);
-}
-
-void operator delete(void* memory, std::size_t) noexcept { operator delete(memory); }
+static std::uint64_t s_roundAllocations = 0;
 
 namespace Chicorytally::Benchmarks {
 
@@ -77,13 +54,13 @@
         // An engine without ticks takes itself to have been paused.
         if (engine)
             engine->tick();
-        auto allocations = s_allocations;
+        auto allocations = allocationCount();
         auto start = std::chrono::steady_clock::now();
         std::uint64_t found = 0;
         for (auto const& packet : packets)
             found += function(packet);
         auto elapsed = std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - start).count();
-        s_roundAllocations += s_allocations - allocations;
+        s_roundAllocations += allocationCount() - allocations;
         if (found != packets.size())
             std::abort();
         best = std::min(best, elapsed / static_cast<double>(packets.size()));
@@ -110,7 +87,7 @@
         held.clock, Placement::EngineOptions { .self = Model::vmId("self"), .hashKey = HashKey }, hooks);
     held.engine->applyConfiguration(std::move(configuration));
     held.engine->tick();
-    auto before = s_allocatedBytes;
+    auto before = allocatedBytes();
     // The first opens make the buckets tracked and are dropped; the second round places all.
     for (int round = 0; round < 2; ++round) {
         held.engine->tick();
@@ -120,7 +97,7 @@
         }
         held.engine->tick();
     }
-    held.bytesPerFlow = static_cast<double>(s_allocatedBytes - before) / static_cast<double>(flows.size());
+    held.bytesPerFlow = static_cast<double>(allocatedBytes() - before) / static_cast<double>(flows.size());
 }
 
 static int run()
--- a/Benchmarks/Forwarding/Bench.cpp
+++ b/Benchmarks/Forwarding/Bench.cpp
@@ -1,6 +1,6 @@
 #include "Bench.h"
 
-#include "AllocationCounter.h"
+#include <Allocations/AllocationCounter.h>
 
 #include <iostream>
 #include <random>
--- a/Benchmarks/Selection/SelectionBenchmark.cpp
+++ b/Benchmarks/Selection/SelectionBenchmark.cpp
@@ -1,3 +1,4 @@
+#include <Allocations/AllocationCounter.h>
 #include <LibLoad/Load.h>
 #include <Report/FigureReport.h>
 
@@ -6,27 +7,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
-#include <new>
 #include <random>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the loads and response times");
 
-static std::size_t s_allocations = 0;
-
-// Counts what this program allocates; it has one thread.
-void* operator new(std::size_t size)
-{
-    auto* memory = std::malloc(size);
-    if (!memory)
-        throw std::bad_alloc {};
-    ++s_allocations;
-    return memory;
-}
-
-void operator delete(void* memory) noexcept { std::free(memory); }
-void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
-
 namespace Chicorytally::Benchmarks {
 
 using namespace std::chrono_literals;
@@ -106,10 +90,10 @@
     uneven.learn(4);
     if (even.view.flowLoads(even.service) || !uneven.view.flowLoads(uneven.service))
         std::abort();
-    auto allocations = s_allocations;
+    auto allocations = allocationCount();
     auto evenTime = even.measure();
     auto unevenTime = uneven.measure();
-    allocations = s_allocations - allocations;
+    allocations = allocationCount() - allocations;
     FigureReport report;
     report.add("selection_even_speeds", evenTime, "ns");
     report.add("selection_uneven_speeds", unevenTime, "ns");
