LibLoad: Refuse opens only if upstreams of several zones reject requests

Cause: on peak-in-one-zone (forms site, callers of one zone at 12 times the usual rate) the upstreams of that zone reject requests while the other zones have free slots.

Ruled out: a limit for each zone, since opens that it turns away need a choice in another zone, which the selector makes already by avoiding upstreams that reject.

Change: contention starts if upstreams of at least two zones reject requests, or of the only zone that is in service.

--- a/Benchmarks/Admission/AdmissionBenchmark.cpp
+++ b/Benchmarks/Admission/AdmissionBenchmark.cpp
@@ -94,10 +94,14 @@
     auto flows = makeFlows();
     Core::SystemClock systemClock;
     auto before = allocatedBytes();
-    Load::AdmissionController idle { systemClock, {}, { .upstreamCount = [](auto) { return 120U; } } };
+    Load::AdmissionController idle { systemClock, {}, { .spreadOf = [](auto) {
+                                        return Load::ServiceSpread { 120U, 1 };
+                                    } } };
     idle.configure(makeRoutes());
     auto bytes = allocatedBytes() - before;
-    Load::AdmissionController contended { systemClock, {}, { .upstreamCount = [](auto) { return 120U; } } };
+    Load::AdmissionController contended { systemClock, {}, { .spreadOf = [](auto) {
+                                             return Load::ServiceSpread { 120U, 1 };
+                                         } } };
     contended.configure(makeRoutes());
     overload(contended, flows.front().destination);
     if (contended.contendedCount() != 1)
--- a/Libraries/LibBalancer/AdmissionFilter.cpp
+++ b/Libraries/LibBalancer/AdmissionFilter.cpp
@@ -1,5 +1,6 @@
 #include <LibBalancer/AdmissionFilter.h>
 
+#include <absl/container/inlined_vector.h>
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
@@ -32,12 +33,27 @@
 Load::AdmissionHooks AdmissionFilter::hooks()
 {
     return {
-        .upstreamCount = [this](Core::ServiceId service) { return m_directory.upstreamsOf(service).size(); },
+        .spreadOf = [this](Core::ServiceId service) { return spreadOf(service); },
         .contentionStarted = [this](auto const& contention) { logContention("contention_started", contention); },
         .contentionEnded = [this](auto const& contention) { logContention("contention_ended", contention); },
     };
 }
 
+Load::ServiceSpread AdmissionFilter::spreadOf(Core::ServiceId service) const
+{
+    Load::ServiceSpread spread;
+    absl::InlinedVector<Core::ZoneId, 8> zones;
+    for (auto const* record : m_directory.upstreamsOf(service)) {
+        if (!m_directory.acceptsNewFlows(*record))
+            continue;
+        ++spread.upstreams;
+        if (auto zone = record->entry.upstream.zone; std::ranges::find(zones, zone) == zones.end())
+            zones.push_back(zone);
+    }
+    spread.zones = zones.size();
+    return spread;
+}
+
 void AdmissionFilter::logContention(std::string_view event, Load::Contention const& contention) const
 {
     auto priorities = absl::StrJoin(contention.refusedPriorities, ",");
--- a/Libraries/LibBalancer/AdmissionFilter.h
+++ b/Libraries/LibBalancer/AdmissionFilter.h
@@ -30,6 +30,7 @@
 
 private:
     Load::AdmissionHooks hooks();
+    Load::ServiceSpread spreadOf(Core::ServiceId) const;
     void logContention(std::string_view event, Load::Contention const&) const;
     std::string routesOf(Core::ServiceId) const;
     void observeCounters(std::string const& priority, Load::AdmissionCounters const&);
--- a/Libraries/LibLoad/AdmissionController.cpp
+++ b/Libraries/LibLoad/AdmissionController.cpp
@@ -267,7 +267,7 @@
     bool isFast = fastTime && duration < RejectionTimePart * static_cast<double>(fastTime->count());
     route->profile.noteSize(response.isShort);
     if (response.isShort && (isFast || route->profile.isShortUnusual())) {
-        estimator.noteRejection(response.upstream);
+        estimator.noteRejection(response.upstream, response.zone);
         return;
     }
     if (!response.isShort)
@@ -288,7 +288,7 @@
     for (auto& [id, service] : m_services) {
         if (isDivisionDue)
             service->shares.updateDemand(elapsed.count());
-        service->estimator.tick(m_hooks.upstreamCount(id));
+        service->estimator.tick(m_hooks.spreadOf(id));
         updateContention(*service);
         if (isDivisionDue && service->isContended)
             divideCapacity(*service, elapsed.count());
--- a/Libraries/LibLoad/AdmissionController.h
+++ b/Libraries/LibLoad/AdmissionController.h
@@ -61,8 +61,8 @@
 };
 
 struct AdmissionHooks {
-    /// Number of upstreams of the service.
-    std::function<std::size_t(Core::ServiceId)> upstreamCount;
+    /// The upstreams of the service that accept new flows.
+    std::function<ServiceSpread(Core::ServiceId)> spreadOf;
     std::function<void(Contention const&)> contentionStarted;
     std::function<void(Contention const&)> contentionEnded;
 };
--- a/Libraries/LibLoad/CapacityEstimator.cpp
+++ b/Libraries/LibLoad/CapacityEstimator.cpp
@@ -23,6 +23,7 @@
     refusals += other.refusals;
     offered += other.offered;
     rejectors |= other.rejectors;
+    rejectingZones |= other.rejectingZones;
     return *this;
 }
 
@@ -51,13 +52,16 @@
         ++m_current.late;
 }
 
-void CapacityEstimator::noteRejection(Core::UpstreamId upstream)
+static std::uint64_t hashBit(std::uint64_t id) { return std::uint64_t { 1 } << (Core::hashPair(id, 0) % 64); }
+
+void CapacityEstimator::noteRejection(Core::UpstreamId upstream, Core::ZoneId zone)
 {
     ++m_current.rejected;
-    m_current.rejectors |= std::uint64_t { 1 } << (Core::hashPair(upstream.value(), 0) % 64);
+    m_current.rejectors |= hashBit(upstream.value());
+    m_current.rejectingZones |= hashBit(zone.value());
 }
 
-void CapacityEstimator::tick(std::size_t upstreamCount)
+void CapacityEstimator::tick(ServiceSpread const& spread)
 {
     auto elapsed = m_clock.now() - m_intervalStart;
     if (elapsed < m_options.interval)
@@ -74,7 +78,7 @@
     if (m_lastInterval.refusals != 0)
         m_lastScarcity = m_clock.now();
     averageCompletions();
-    if (!m_limit && isCongested(upstreamCount))
+    if (!m_limit && isCongested(spread))
         startContention();
     else if (!isMeasured())
         return;
@@ -102,16 +106,19 @@
         || m_measurement.duration >= m_options.maximumMeasurement;
 }
 
-bool CapacityEstimator::isCongested(std::size_t upstreamCount) const
+bool CapacityEstimator::isCongested(ServiceSpread const& spread) const
 {
     if (m_measurement.responses() < m_options.minimumResponses)
         return false;
     if (m_measurement.lateShare() > m_options.contentionLateShare)
         return true;
-    auto required = std::min(m_options.minimumRejectingUpstreams, upstreamCount);
+    auto atLeast = [](std::uint64_t bits, std::size_t minimum, std::size_t available) {
+        return static_cast<std::size_t>(std::popcount(bits)) >= std::min(minimum, available);
+    };
     return m_measurement.rejected >= m_options.minimumRejections
         && m_measurement.rejectedShare() > m_options.contentionShare
-        && static_cast<std::size_t>(std::popcount(m_measurement.rejectors)) >= required;
+        && atLeast(m_measurement.rejectors, m_options.minimumRejectingUpstreams, spread.upstreams)
+        && atLeast(m_measurement.rejectingZones, m_options.minimumRejectingZones, spread.zones);
 }
 
 void CapacityEstimator::startContention()
--- a/Libraries/LibLoad/CapacityEstimator.h
+++ b/Libraries/LibLoad/CapacityEstimator.h
@@ -31,6 +31,8 @@
     std::uint32_t minimumRejections { 6 };
     /// Rejections must come from this many upstreams, since one that fails attracts requests by its fast responses.
     std::size_t minimumRejectingUpstreams { 3 };
+    /// Rejections must come from this many zones: if only the local one is full, opens go to the others.
+    std::size_t minimumRejectingZones { 2 };
     /// Share of responses over their goal that counts as congestion. 3% of requests take 7 times as long when idle.
     double contentionLateShare { 0.25 };
     /// Time over which completions are averaged; the limit doesn't fall below their rate.
@@ -45,6 +47,12 @@
     std::chrono::milliseconds contentionEnd { 1000 };
 };
 
+/// How widely the usable upstreams of a service are spread.
+struct ServiceSpread {
+    std::size_t upstreams { 0 };
+    std::size_t zones { 0 };
+};
+
 /// Estimates the rate of requests that the upstreams of one service take from this balancer, from the share of requests
 /// that they reject. In saturation this is the rate of completions; the share has less noise than the rate. Not
 /// thread-safe.
@@ -56,14 +64,13 @@
     /// Records a response other than a rejection. `isLate` if it took longer than the route's goal and the route's
     /// response time without load is well below the goal.
     void noteCompletion(bool isLate);
-    void noteRejection(Core::UpstreamId);
+    void noteRejection(Core::UpstreamId, Core::ZoneId);
     /// Records the expected number of requests of an open that was asked for.
     void noteOffered(double requests) { m_current.offered += requests; }
     void noteRefusal() { ++m_current.refusals; }
 
-    /// Evaluates the counts. Must be called at least once per interval. `upstreamCount` is the number of upstreams of
-    /// the service.
-    void tick(std::size_t upstreamCount);
+    /// Evaluates the counts. Must be called at least once per interval.
+    void tick(ServiceSpread const&);
 
     /// Requests per second that the upstreams take; unset while there is no contention or not enough data.
     std::optional<double> limit() const { return m_limit; }
@@ -83,6 +90,8 @@
         double offered { 0 };
         /// A bit for each rejecting upstream, chosen by a hash of its ID.
         std::uint64_t rejectors { 0 };
+        /// The same for the zones of rejecting upstreams.
+        std::uint64_t rejectingZones { 0 };
 
         Counts& operator+=(Counts const&);
         std::uint32_t responses() const { return completed + rejected; }
@@ -91,7 +100,7 @@
     };
 
     bool isMeasured() const;
-    bool isCongested(std::size_t upstreamCount) const;
+    bool isCongested(ServiceSpread const&) const;
     void averageCompletions();
     void startContention();
     double targetRejectedShare() const;
--- a/Tests/LibLoad/AdmissionSite.cpp
+++ b/Tests/LibLoad/AdmissionSite.cpp
@@ -80,8 +80,10 @@
 {
     for (std::size_t i = 0; i < Balancers; ++i) {
         auto& balancer = *m_balancers.emplace_back(std::make_unique<Balancer>());
-        balancer.controller = std::make_unique<Load::AdmissionController>(m_clock, Load::AdmissionOptions {},
-            Load::AdmissionHooks { .upstreamCount = [](auto) { return Upstreams; } });
+        balancer.controller = std::make_unique<Load::AdmissionController>(
+            m_clock, Load::AdmissionOptions {}, Load::AdmissionHooks { .spreadOf = [](auto) {
+                return Load::ServiceSpread { Upstreams, 1 };
+            } });
         if (m_pattern.hasAdmission)
             balancer.controller->configure(makeRoutes());
     }
--- a/Tests/LibLoad/TestAdmissionController.cpp
+++ b/Tests/LibLoad/TestAdmissionController.cpp
@@ -38,7 +38,10 @@
     std::vector<Load::Contention> started;
     std::vector<Load::Contention> ended;
     Load::AdmissionController controller { clock, {},
-        { .upstreamCount = [this](auto) { return upstreams; },
+        { .spreadOf =
+                [this](auto) {
+                    return Load::ServiceSpread { upstreams, 1 };
+                },
             .contentionStarted = [this](auto const& contention) { started.push_back(contention); },
             .contentionEnded = [this](auto const& contention) { ended.push_back(contention); } } };
     std::uint16_t port { 0 };
--- a/Tests/LibLoad/TestAdmissionParts.cpp
+++ b/Tests/LibLoad/TestAdmissionParts.cpp
@@ -35,6 +35,8 @@
     double completed { 0 };
     std::uint64_t rejections { 0 };
     std::size_t rejectingUpstreams { Upstreams };
+    std::uint64_t zones { 1 };
+    std::uint64_t rejectingZones { 1 };
 
     /// Advances by a tick with the offered rate and capacity in requests per second.
     void tick(double offered, double capacity)
@@ -49,12 +51,19 @@
             estimator.noteCompletion(false);
         m_rejected += std::max(0.0, admitted - capacity) * seconds;
         for (; m_rejected >= 1; m_rejected -= 1)
-            estimator.noteRejection(Core::UpstreamId { 1 + rejections++ % rejectingUpstreams });
+            noteRejection();
         estimator.noteOffered(offered * seconds);
         if (admitted < offered)
             estimator.noteRefusal();
         clock.advance(Tick);
-        estimator.tick(Upstreams);
+        estimator.tick({ Upstreams, zones });
+    }
+
+    void noteRejection()
+    {
+        ++rejections;
+        estimator.noteRejection(
+            Core::UpstreamId { 1 + rejections % rejectingUpstreams }, Core::ZoneId { 1 + rejections % rejectingZones });
     }
 
     void run(std::chrono::milliseconds duration, double offered, double capacity)
@@ -107,6 +116,18 @@
     BOOST_TEST(!estimate.estimator.limit().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FullLocalZoneIsNoContention)
+{
+    // Guards against refusals at a peak in one zone while the other zones have free slots.
+    Estimate estimate;
+    estimate.zones = 3;
+    estimate.run(3s, 300, 200);
+    BOOST_TEST(!estimate.estimator.limit().has_value());
+    estimate.rejectingZones = 2;
+    estimate.run(1s, 300, 200);
+    BOOST_TEST(estimate.estimator.limit().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(NoLimitWithoutData)
 {
     // Guards against refusals at the start, and by a service whose responses no longer pass here.
@@ -117,7 +138,7 @@
     BOOST_TEST(estimate.estimator.limit().has_value());
     for (int i = 0; i < 50; ++i) {
         estimate.clock.advance(Tick);
-        estimate.estimator.tick(Upstreams);
+        estimate.estimator.tick({ Upstreams, 1 });
     }
     BOOST_TEST(!estimate.estimator.limit().has_value());
 }
@@ -129,7 +150,7 @@
     estimate.run(3s, 300, 100);
     auto before = *estimate.estimator.limit();
     estimate.clock.advance(4s);
-    estimate.estimator.tick(Upstreams);
+    estimate.estimator.tick({ Upstreams, 1 });
     BOOST_TEST(*estimate.estimator.limit() == before);
     BOOST_TEST(!estimate.estimator.isCertain());
     estimate.run(2s, 300, 100);
@@ -148,7 +169,7 @@
         }
         estimator.noteOffered(10);
         clock.advance(Tick);
-        estimator.tick(Upstreams);
+        estimator.tick({ Upstreams, 1 });
         if (estimator.limit())
             BOOST_TEST(*estimator.limit() >= 199);
     }
