--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -79,7 +80,7 @@
                 known = json.loads(base64.b64decode(item["value"]))
                 if {**known, "seq": 0} == {**entry, "seq": 0}:
                     return self.site.now()
-            except ValueError:
+            except (ValueError, TypeError, RecursionError):
                 pass
         return self.put(key, entry)
 
@@ -274,7 +275,7 @@
         head = packet.data.split(b"\r\n\r\n")[0].decode()
         request = head.split("X-Chicorytally-Request-Id: ")[1].split("\r\n")[0]
         self.site.ran(request, self)
-        await asyncio.sleep(random.uniform(0.04, 0.09))
+        await asyncio.sleep(random.uniform(*self.site.work))
         if not self.is_alive or flow["ended"]:
             return
         body = f"done {request}".encode()
@@ -455,6 +456,8 @@
         self.requests: dict[str, dict] = {}
         self.tasks: list[asyncio.Task] = []
         self.own_ends, self.is_closing = 0, False
+        # Seconds that a request takes at a target.
+        self.work = (0.04, 0.09)
         self.on_open_taken = lambda target, packet, node: None
         self.on_system_reset = lambda consumer, flow, packet, request: None
         self.choose_addresses(balancers)
@@ -595,6 +598,7 @@
     """Plays a case and writes record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     case = pathlib.Path(case_file).resolve().parent
     site, code = None, 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         site = Site(case, zones, balancers, os.environ.get("TROUBLE", "1") != "0")
         verdict = asyncio.run(play(site))
@@ -611,4 +615,5 @@
             log = ["", "Lines of the balancers' logs:"] + site.balancer_lines(events)
             (case / "record.txt").write_text("\n".join(summary + site.lines + log) + "\n")
             print(summary[0])
+            shutil.rmtree(site.folder, ignore_errors=True)
     return code
