Review: Show balancers that never come back beside unreadable entries

Claim: 140 unreadable entries of 1 MB make every balancer exceed its memory before it has a view, so that nothing is served after all processes are killed (RECOVER).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,63 +1,76 @@
-"""FLOW: an entry of another writer under a target's id names a service that no configuration has."""
+"""RECOVER: unreadable entries of another writer fill the memory of each balancer when it starts."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins-2"))
 
 import deployment  # noqa: E402
 
 ADDRESS, PORT = "198.18.0.1", 8443
-FOREIGN_AT, END_AT = 8.0, 16.0
+ENTRIES, ENTRY_BYTES, ENTRY_GAP = int(os.environ.get("ENTRIES", "140")), 1_000_000, 0.07
+FIRST_ENTRY_AT, QUIET_SECONDS = 4.0, 3.0
+RECOVER_SECONDS, JUDGED_SECONDS = 12.0, 20.0
 
 
 async def use(site, consumer, results: list) -> None:
-    """A session that stays open and carries one report after the other."""
-    while site.now() < END_AT:
-        flow = await consumer.open((ADDRESS, PORT))
-        if not flow:
-            await asyncio.sleep(0.2)
-            continue
-        state = "open"
-        while state == "open" and site.now() < END_AT:
-            result = await consumer.request(flow)
-            results.append(result)
-            state = await consumer.wait(flow, random.uniform(0.02, 0.12)) if result == "served" else result
-        if state == "open":
-            await consumer.close(flow)
+    """Opens a flow for each request. A request is served if it is answered by one of three attempts within its time budget."""
+    while not site.is_closing:
+        sent_at, is_served = site.now(), False
+        for _ in range(3):
+            if flow := await consumer.open((ADDRESS, PORT)):
+                is_served = await consumer.request(flow, is_unsafe=False, is_last=True) == "served"
+                if is_served:
+                    await consumer.wait(flow, 1.0)
+            if is_served or site.now() - sent_at > deployment.REQUEST_LIMIT:
+                break
+        results.append((sent_at, is_served))
+        await asyncio.sleep(random.uniform(0.2, 0.5))
+
+
+def share(results: list, begin: float, end: float) -> tuple[float, int]:
+    judged = [is_served for sent_at, is_served in results if begin <= sent_at < end]
+    return sum(judged) / max(len(judged), 1), len(judged)
 
 
 async def play(site) -> bool:
-    site.configure([deployment.route_entry("r-orders", ADDRESS, PORT, "register")], ["register"])
+    site.configure([deployment.route_entry("r-orders", ADDRESS, PORT, "register", "safe")], ["register"])
     for number in range(6):
         site.targets.append(deployment.Target(site, number, "register", site.zones[number % 3], random.getrandbits(32) | 1 << 31))
-    site.consumers = [deployment.Consumer(site, number, site.zones[number % 3]) for number in range(18)]
-
-    def judge(consumer, flow, packet, request) -> None:
-        # No target is disturbed, and all balancers are in touch from the start on.
-        if target := site.target_of(consumer, flow):
-            site.break_rule("FLOW", f"flow of {consumer.host}:{flow.port}, open for {site.now() - flow.opened_at:.1f} s at {target.name}, "
-                                    f"which lives, was reset by {packet.sender}; request in flight: {request}")
-
-    site.on_system_reset = judge
+    site.consumers = [deployment.Consumer(site, number, site.zones[number % 3]) for number in range(12)]
     await site.start()
-    results: list[str] = []
-    users = [asyncio.ensure_future(use(site, consumer, results)) for consumer in site.consumers]
-    await asyncio.sleep(FOREIGN_AT - site.now() if site.now() < FOREIGN_AT else 0)
-    if site.has_trouble:
-        victim = max(site.targets, key=lambda target: sum(flow["open"] and not flow["ended"] for flow in target.flows.values()))
-        # As the target's own entry, but for the service and the start of the process that wrote it.
-        entry = {**victim.entry(), "service": "inventory", "version": "v7", "born": int(time.time() * 1000) - 3_600_000}
-        site.store.put(victim.key, entry)
-        site.note(f"another writer wrote {victim.key}: {entry}")
-    await asyncio.gather(*users)
+    site.tasks += [asyncio.ensure_future(node.limit_memory()) for node in site.balancers]
+    results: list[tuple[float, bool]] = []
+    site.tasks += [asyncio.ensure_future(use(site, consumer, results)) for consumer in site.consumers]
+    await asyncio.sleep(max(FIRST_ENTRY_AT - site.now(), 0))
+    for _ in range(ENTRIES):
+        if site.has_trouble:
+            site.store.put(f"servers/i-{random.getrandbits(32):08x}", random.randbytes(ENTRY_BYTES))
+        await asyncio.sleep(ENTRY_GAP)
+    site.note(f"another writer has written {ENTRIES if site.has_trouble else 0} entries of {ENTRY_BYTES} bytes that can't be read")
+    await asyncio.sleep(QUIET_SECONDS)
+    site.note(f"memory: {[round(node.peak_megabytes()) for node in site.balancers]} MB")
+    killed_at = site.now()
+    for node in site.balancers:
+        node.kill()
+    site.note("all processes are killed")
+    while any(node.is_killed for node in site.balancers):
+        await asyncio.sleep(0.02)
+    back_at = site.now()
+    site.note("all processes are started again")
+    judged_from = back_at + RECOVER_SECONDS
+    await asyncio.sleep(RECOVER_SECONDS + JUDGED_SECONDS)
+    judged_to = site.now() - deployment.REQUEST_LIMIT - 1.5
     await site.close()
-    site.note(f"results: {({result: results.count(result) for result in sorted(set(results))})}")
-    return "FLOW" in site.broken
+    before, after = share(results, 0, killed_at - deployment.REQUEST_LIMIT), share(results, judged_from, judged_to)
+    site.note(f"served before the kill: {before[0]:.3f} of {before[1]}; sent later than {RECOVER_SECONDS} s after: {after[0]:.3f} of {after[1]}")
+    site.note(f"kills for memory: {({node.name: node.memory_kills for node in site.balancers})}")
+    if before[0] >= 0.25 and after[1] and after[0] < 0.25:
+        site.break_rule("RECOVER", f"{after[0]:.3f} of {after[1]} requests were served later than {RECOVER_SECONDS} s after the machines were back")
+    return "RECOVER" in site.broken
 
 
-sys.exit(deployment.main(__file__, play, ("upstream_restarted", "upstream_unlisted", "upstream_listed_again", "item_rejected",
-                                           "flows_given_up", "request_cut", "flow_given_up", "upstream_lost")))
+sys.exit(deployment.main(__file__, play, ("started", "listing_applied", "source_lost", "changes_too_large")))
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -32,6 +32,7 @@
 OPEN_COPIES = (0.2, 0.6)
 OPEN_LIMIT = 1.4
 IDLE_TIMEOUT_MS = 15000
+MEMORY_MB = 260
 REQUEST_LIMIT = 3.0
 DATA_COPIES = (0.2, 0.6, 1.4)
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": CONTACT_MS, "ack_ms": 5000, "sync_s": 4, "drain_ms": DRAIN_MS,
@@ -69,6 +70,7 @@
             event = {"key": key, "value": base64.b64encode(text).decode(), "rev": self.revision, "create_rev": self.revision, "lease": 0}
             self.items[key] = event
         self.events.append(event)
+        event["text"] = json.dumps(event)
         for waiting in self.waiting:
             waiting.set()
         return self.site.now()
@@ -84,22 +86,34 @@
                 pass
         return self.put(key, entry)
 
-    async def answer(self, path: str, query: dict[str, str]) -> tuple[int, dict]:
+    @staticmethod
+    def body(name: str, items: list[dict], **fields) -> str:
+        """The items were encoded once, as large ones are sent many times."""
+        return f'{{"{name}": [{", ".join(item["text"] for item in items)}], {json.dumps(fields)[1:]}'
+
+    async def answer(self, path: str, query: dict[str, str]) -> tuple[int, str]:
         prefix = query.get("prefix", "")
         if path == "/api/kv-range":
             keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > query.get("after", "")]
-            return 200, {"items": [self.items[key] for key in keys[:50]], "has_more": len(keys) > 50, "as_of": self.revision}
+            page, size = [], 0
+            for key in keys[:50]:
+                size += len(self.items[key]["value"]) * 3 // 4
+                # At most 1 MB of values, or a single item.
+                if page and size > 1_000_000:
+                    break
+                page.append(self.items[key])
+            return 200, self.body("items", page, has_more=len(keys) > len(page), as_of=self.revision)
         if path == "/api/kv-key":
             item = self.items.get(query["key"])
-            return (200, {**item, "as_of": self.revision}) if item else (404, {})
+            return (200, json.dumps({**item, "as_of": self.revision})) if item else (404, "{}")
         if path != "/api/kv-watch":
-            return 404, {}
+            return 404, "{}"
         after, deadline = int(query["after"]), self.site.now() + int(query["wait_ms"]) / 1000
         while True:
             events = [event for event in self.events[after:] if event["key"].startswith(prefix)]
             remaining = deadline - self.site.now()
             if events or remaining <= 0:
-                return 200, {"events": events, "as_of": self.revision}
+                return 200, self.body("events", events, as_of=self.revision)
             waiting = asyncio.Event()
             self.waiting.add(waiting)
             try:
@@ -115,7 +129,7 @@
                 peer = writer.get_extra_info("peername")[0]
                 self.calls[peer] = self.calls.get(peer, 0) + 1
                 status, body = await self.answer(target.path, dict(urllib.parse.parse_qsl(target.query)))
-                text = json.dumps(body).encode()
+                text = body.encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
@@ -131,6 +145,7 @@
         self.site, self.zone, self.host = site, zone, f"{site.net}.1.{number + 1}"
         self.name = f"front-{zone}-{number + 1}"
         self.is_ready, self.misses, self.process = False, 0, None
+        self.is_killed, self.memory_kills = False, 0
 
     def settings(self) -> dict:
         site = self.site
@@ -142,7 +157,7 @@
                 "internal_ports": [site.ports["peer"], site.ports["peer"] + 3],
                 "seeds": [f"{site.net}.1.{number}:{site.ports['control']}" for number in (1, 2, 3)],
                 "bootstrap": True, "in_tolerance": False,
-                "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+                "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": MEMORY_MB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
                 "data_dir": None, "discovery": "platform", "entry": "announce", "heartbeat_ms": int(HEARTBEAT * 1000),
                 "contracts": ["base", "drain", "config", "cost", "recover", "flows", "places", "platform"],
                 "tolerate": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS, "flow_hash": "steady", "encap": "echo",
@@ -153,9 +168,31 @@
         path = self.site.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings()))
         environment = {"PATH": os.environ.get("PATH", ""), "CHICORYTALLY_NODE_FILE": str(path), "CHICORYTALLY_PEER_KEY": PEER_KEY}
+        self.is_killed = False
         with open(self.site.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(deploy_command(), env=environment, stdout=log, stderr=log, cwd=ROOT)
 
+    def kill(self) -> None:
+        self.is_killed = True
+        self.process.kill()
+
+    def peak_megabytes(self) -> float:
+        """The largest memory that the process has had resident."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+            return int(status.split("VmHWM:")[1].split()[0]) / 1024
+        except (OSError, IndexError):
+            return 0
+
+    async def limit_memory(self) -> None:
+        """Kills the process when it exceeds its memory, as the platform does (DEPLOY.md, "Memory and descriptors")."""
+        while True:
+            await asyncio.sleep(0.02)
+            if self.process.poll() is None and not self.is_killed and (peak := self.peak_megabytes()) > MEMORY_MB:
+                self.site.note(f"{self.name} has had {peak:.0f} MB, {MEMORY_MB} allowed: killed by the platform")
+                self.memory_kills += 1
+                self.kill()
+
     async def ask_ready(self) -> bool:
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(self.host, self.site.ports["ready"]), 0.4)
@@ -170,8 +207,9 @@
         while True:
             await asyncio.sleep(0.5)
             if self.process.poll() is not None and not self.site.is_closing:
-                self.site.note(f"{self.name} ended by itself with {self.process.returncode}")
-                self.site.own_ends += 1
+                if not self.is_killed:
+                    self.site.note(f"{self.name} ended by itself with {self.process.returncode}")
+                    self.site.own_ends += 1
                 self.start()
             is_ready = await self.ask_ready()
             self.misses = 0 if is_ready else self.misses + 1
