Review: Show balancers that stand still at their start beside many entries

Claim: 75,000 entries of another writer at one address keep each process from serving for more than 18 s after its start, so that less than a quarter is served after all processes are killed (RECOVER).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,26 +16,6 @@
 RECOVER_SECONDS, JUDGED_SECONDS = 12.0, 20.0
 
 
-async def use(site, consumer, results: list) -> None:
-    """Opens a flow for each request. A request is served if it is answered by one of three attempts within its time budget."""
-    while not site.is_closing:
-        sent_at, is_served = site.now(), False
-        for _ in range(3):
-            if flow := await consumer.open((ADDRESS, PORT)):
-                is_served = await consumer.request(flow, is_unsafe=False, is_last=True) == "served"
-                if is_served:
-                    await consumer.wait(flow, 1.0)
-            if is_served or site.now() - sent_at > deployment.REQUEST_LIMIT:
-                break
-        results.append((sent_at, is_served))
-        await asyncio.sleep(random.uniform(0.2, 0.5))
-
-
-def share(results: list, begin: float, end: float) -> tuple[float, int]:
-    judged = [is_served for sent_at, is_served in results if begin <= sent_at < end]
-    return sum(judged) / max(len(judged), 1), len(judged)
-
-
 async def play(site) -> bool:
     site.configure([deployment.route_entry("r-orders", ADDRESS, PORT, "register", "safe")], ["register"])
     for number in range(6):
@@ -44,7 +24,7 @@
     await site.start()
     site.tasks += [asyncio.ensure_future(node.limit_memory()) for node in site.balancers]
     results: list[tuple[float, bool]] = []
-    site.tasks += [asyncio.ensure_future(use(site, consumer, results)) for consumer in site.consumers]
+    site.tasks += [asyncio.ensure_future(deployment.use_with_tries(site, consumer, (ADDRESS, PORT), results)) for consumer in site.consumers]
     await asyncio.sleep(max(FIRST_ENTRY_AT - site.now(), 0))
     for _ in range(ENTRIES):
         if site.has_trouble:
@@ -54,18 +34,13 @@
     await asyncio.sleep(QUIET_SECONDS)
     site.note(f"memory: {[round(node.peak_megabytes()) for node in site.balancers]} MB")
     killed_at = site.now()
-    for node in site.balancers:
-        node.kill()
-    site.note("all processes are killed")
-    while any(node.is_killed for node in site.balancers):
-        await asyncio.sleep(0.02)
-    back_at = site.now()
-    site.note("all processes are started again")
+    back_at = await deployment.kill_all(site)
     judged_from = back_at + RECOVER_SECONDS
     await asyncio.sleep(RECOVER_SECONDS + JUDGED_SECONDS)
     judged_to = site.now() - deployment.REQUEST_LIMIT - 1.5
     await site.close()
-    before, after = share(results, 0, killed_at - deployment.REQUEST_LIMIT), share(results, judged_from, judged_to)
+    before = deployment.served_share(results, 0, killed_at - deployment.REQUEST_LIMIT)
+    after = deployment.served_share(results, judged_from, judged_to)
     site.note(f"served before the kill: {before[0]:.3f} of {before[1]}; sent later than {RECOVER_SECONDS} s after: {after[0]:.3f} of {after[1]}")
     site.note(f"kills for memory: {({node.name: node.memory_kills for node in site.balancers})}")
     if before[0] >= 0.25 and after[1] and after[0] < 0.25:
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 cache=$(mktemp -d)
 trap 'rm -rf "$cache"' EXIT
-PYTHONPYCACHEPREFIX="$cache" python3 -m py_compile Tests/Soak/packets.py review/standins-2/*.py review/6/*.py review/7/*.py review/8/*.py
+PYTHONPYCACHEPREFIX="$cache" python3 -m py_compile Tests/Soak/packets.py review/standins-2/*.py review/6/*.py review/7/*.py review/8/*.py review/9/*.py
 test -x target/bin/chicorytally-platform
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -96,7 +96,7 @@
         if path == "/api/kv-range":
             keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > query.get("after", "")]
             page, size = [], 0
-            for key in keys[:50]:
+            for key in keys[:500]:
                 size += len(self.items[key]["value"]) * 3 // 4
                 # At most 1 MB of values, or a single item.
                 if page and size > 1_000_000:
@@ -587,14 +587,15 @@
         return self.store.put("op/config", {"version": self.version, "routes": routes, "services": declared, "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": IDLE_TIMEOUT_MS}})
 
-    async def start(self) -> None:
+    async def start(self, limit: float = 10) -> None:
         self.server = await asyncio.start_server(self.store.serve, self.store_host, self.ports["store"])
         for target in self.targets:
             await target.start()
         for node in self.balancers:
             node.start()
             self.tasks.append(asyncio.ensure_future(node.check()))
-        for _ in range(100):
+        began = self.now()
+        while self.now() - began < limit:
             await asyncio.sleep(0.1)
             if all(node.is_ready for node in self.balancers):
                 break
@@ -632,6 +633,38 @@
             "service": service, "max_attempts": 2}
 
 
+async def use_with_tries(site: Site, consumer: Consumer, address: tuple[str, int], results: list) -> None:
+    """Opens a flow for each request, and tries three times within its time budget."""
+    while not site.is_closing:
+        sent_at, is_served = site.now(), False
+        for _ in range(3):
+            if flow := await consumer.open(address):
+                is_served = await consumer.request(flow, is_unsafe=False, is_last=True) == "served"
+                if is_served:
+                    await consumer.wait(flow, 1.0)
+            if is_served or site.now() - sent_at > REQUEST_LIMIT:
+                break
+        results.append((sent_at, is_served))
+        await asyncio.sleep(random.uniform(0.2, 0.5))
+
+
+def served_share(results: list, begin: float, end: float) -> tuple[float, int]:
+    """The share served of the requests that were sent in this time, and their number."""
+    judged = [is_served for sent_at, is_served in results if begin <= sent_at < end]
+    return sum(judged) / max(len(judged), 1), len(judged)
+
+
+async def kill_all(site: Site) -> float:
+    """Kills all balancers and returns the time when all are started again."""
+    for node in site.balancers:
+        node.kill()
+    site.note("all processes are killed")
+    while any(node.is_killed for node in site.balancers):
+        await asyncio.sleep(0.02)
+    site.note("all processes are started again")
+    return site.now()
+
+
 def main(case_file: str, play, events: tuple[str, ...], balancers: int = 4, zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")) -> int:
     """Plays a case and writes record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     case = pathlib.Path(case_file).resolve().parent
