--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,9 @@
 
 import deployment  # noqa: E402
 
-ADDRESS, PORT = "198.18.0.1", 8443
+ADDRESS, PORT = "127.18.0.1", 8443
+# TROUBLE=0 plays the case without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENTRIES, ENTRY_BYTES, ENTRY_GAP = int(os.environ.get("ENTRIES", "140")), 1_000_000, 0.07
 FIRST_ENTRY_AT, QUIET_SECONDS = 4.0, 3.0
 RECOVER_SECONDS, JUDGED_SECONDS = 12.0, 20.0
@@ -48,4 +50,4 @@
     return "RECOVER" in site.broken
 
 
-sys.exit(deployment.main(__file__, play, ("started", "listing_applied", "source_lost", "changes_too_large")))
+sys.exit(deployment.main(__file__, play, HAS_TROUBLE, ("started", "listing_applied", "source_lost", "changes_too_large")))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """DRAIN: a consumer that uses its port again stays at a target that drains."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -9,7 +10,9 @@
 
 import deployment  # noqa: E402
 
-ADDRESS, PORT = "198.18.0.1", 8443
+ADDRESS, PORT = "127.18.0.1", 8443
+# TROUBLE=0 plays the case without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DRAIN_AT, LINGER, END_AT = 8.0, 6.0, 22.0
 OWN_PORT = 35000
 
@@ -71,4 +74,4 @@
     return "DRAIN" in site.broken
 
 
-sys.exit(deployment.main(__file__, play, ("upstream_applied", "upstream_unlisted", "upstream_lost", "flows_given_up")))
+sys.exit(deployment.main(__file__, play, HAS_TROUBLE, ("upstream_applied", "upstream_unlisted", "upstream_lost", "flows_given_up")))
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -665,13 +665,13 @@
     return site.now()
 
 
-def main(case_file: str, play, events: tuple[str, ...], balancers: int = 4, zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")) -> int:
+def main(case_file: str, play, has_trouble: bool, events: tuple[str, ...], balancers: int = 4, zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")) -> int:
     """Plays a case and writes record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     case = pathlib.Path(case_file).resolve().parent
     site, code = None, 2
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        site = Site(case, zones, balancers, os.environ.get("TROUBLE", "1") != "0")
+        site = Site(case, zones, balancers, has_trouble)
         verdict = asyncio.run(play(site))
         code = 1 if verdict else 0
     except Exception as error:  # A case that can't run says so.
--- a/review/standins-2/unlisted_for_two_minutes.py
+++ b/review/standins-2/unlisted_for_two_minutes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -12,7 +13,7 @@
 
 import deployment
 
-ADDRESS, PORT = "198.18.0.1", 8443
+ADDRESS, PORT = "127.18.0.1", 8443
 END_AT = 132.0
 
 
@@ -45,4 +46,4 @@
 
 
 folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-sys.exit(deployment.main(str(folder / "record.txt"), play, ("upstream_unlisted", "flows_given_up")))
+sys.exit(deployment.main(str(folder / "record.txt"), play, os.environ.get("TROUBLE", "1") != "0", ("upstream_unlisted", "flows_given_up")))
